--- a/control/control_follower.cpp
+++ b/control/control_follower.cpp
@@ -108,12 +108,14 @@
         m_log.compactTo(snapshot.lastIndex);
     }
     const ConfigurationVersion before = state().configuration.version;
+    const std::uint64_t documentBefore = state().document.version;
     m_machine.restore(snapshot.state);
     m_commitIndex = snapshot.lastIndex;
     m_snapshotIndex = snapshot.lastIndex;
     m_writtenIndex = m_log.lastIndex();
     m_pendingWrites.push_back({ writeJournal(std::move(write)), snapshot.lastIndex });
     log(kSnapshotInstalled, { { "index", fmt::to_string(snapshot.lastIndex) }, { "from", from } });
+    noteDocument(documentBefore);
     if (state().configuration.version != before)
         m_effects.emplace_back(ConfigurationCommitted { state().configuration });
     replyAppend(from, request.round, snapshot.lastIndex);
--- a/control/control_reducer.cpp
+++ b/control/control_reducer.cpp
@@ -175,6 +175,7 @@
 void ControlReducer::advanceCommit(LogIndex index)
 {
     const ConfigurationVersion before = state().configuration.version;
+    const std::uint64_t documentBefore = state().document.version;
     while (m_commitIndex < index) {
         const LogEntry& entry = m_log.at(++m_commitIndex);
         const CommandResult result = m_machine.apply(entry.command);
@@ -186,12 +187,22 @@
         respond(token->second, result);
         m_tokens.erase(token);
     }
+    noteDocument(documentBefore);
     if (state().configuration.version == before)
         return;
     log(kChangeAccepted, { { "version", fmt::to_string(state().configuration.version.value) } });
     m_effects.emplace_back(ConfigurationCommitted { state().configuration });
 }
 
+void ControlReducer::noteDocument(std::uint64_t before)
+{
+    const std::uint64_t version = state().document.version;
+    if (version == before)
+        return;
+    log(kDocumentAccepted, { { "version", fmt::to_string(version) }, { "index", fmt::to_string(m_commitIndex) }, { "bytes", fmt::to_string(state().document.content.size()) } });
+    m_effects.emplace_back(DocumentCommitted { version });
+}
+
 void ControlReducer::compactIfDue()
 {
     const std::size_t records = state().changes.size() + state().claims.size() + state().configuration.classes.size();
@@ -217,6 +228,19 @@
     return m_leaseHeld ? std::min(m_nextHeartbeat, leaseEnd()) : m_nextHeartbeat;
 }
 
+std::vector<MemberHealth> ControlReducer::memberHealth(TimePoint now) const
+{
+    std::vector<MemberHealth> members;
+    for (const auto& [name, progress] : m_progress) {
+        MemberHealth health;
+        health.name = name;
+        health.silence = now - progress.lastReply.value_or(m_leaderSince);
+        health.caughtUp = progress.repair == 0 && !progress.regressed && progress.match >= m_termStart;
+        members.push_back(std::move(health));
+    }
+    return members;
+}
+
 ReplicaStatus ControlReducer::status(TimePoint now) const
 {
     ReplicaStatus status;
--- a/control/control_reducer.h
+++ b/control/control_reducer.h
@@ -50,6 +50,10 @@
     TimePoint nextWakeup() const;
     // The lease is judged at the given time, so that a process that was frozen does not claim an old one.
     ReplicaStatus status(TimePoint now) const;
+    // What a leader knows of the other members; empty at other replicas.
+    std::vector<MemberHealth> memberHealth(TimePoint now) const;
+    // True if an entry of the log or a snapshot states the members, so that a replica with other seeds learns them.
+    bool membersRecorded() const { return m_log.membersIndex() > 0 || m_log.baseIndex() > 0; }
     // The committed state as far as this replica knows it.
     const MachineState& state() const { return m_machine.state(); }
 
@@ -110,6 +114,7 @@
     void sendAfterSync(const InstanceName& to, PeerMessage message);
     void respond(RequestToken token, CommandResult result);
     void advanceCommit(LogIndex index);
+    void noteDocument(std::uint64_t before);
     void compactIfDue();
     const Members& members() const { return m_log.members(); }
     bool isVoter() const { return members().voters.contains(m_options.name); }
--- a/control/events.h
+++ b/control/events.h
@@ -26,11 +26,12 @@
 inline constexpr EventDescription kSnapshotInstalled { 3018, "snapshot_installed", Severity::Information, "The state was replaced by the leader's snapshot." };
 inline constexpr EventDescription kProtocolViolation { 3019, "protocol_violation", Severity::Error, "A message contradicts the committed log or the current term and was ignored." };
 inline constexpr EventDescription kChangeAccepted { 3020, "change_accepted", Severity::Information, "A change of a class was committed." };
+inline constexpr EventDescription kDocumentAccepted { 3021, "document_accepted", Severity::Information, "A configuration document of a higher version was committed." };
 
-inline constexpr std::array<const EventDescription*, 19> kControlEvents {
+inline constexpr std::array<const EventDescription*, 20> kControlEvents {
     &kReplicaStarted, &kBecameLeader, &kSteppedDown, &kLeaseGained, &kLeaseLost, &kElectionStarted, &kVoteGranted, &kMembersChanged,
     &kRepairStarted, &kRepairCompleted, &kPeerRepairing, &kPeerRepaired, &kPeerRegressed, &kStorageFailed, &kStorageRestored,
-    &kSnapshotTaken, &kSnapshotInstalled, &kProtocolViolation, &kChangeAccepted
+    &kSnapshotTaken, &kSnapshotInstalled, &kProtocolViolation, &kChangeAccepted, &kDocumentAccepted
 };
 
 } // namespace curranttrail::control
--- /dev/null
+++ b/control/feed.cpp
@@ -0,0 +1,59 @@
+#include "control/feed.h"
+
+#include "control/value_encoding.h"
+
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace curranttrail::routing {
+
+template <typename Archive>
+void serialize(Archive& archive, ServerRecord& record)
+{
+    archive(record.instance, record.collection, record.address, record.dataCentre, record.slots, record.leaving, record.coldFor);
+}
+
+} // namespace curranttrail::routing
+
+namespace curranttrail::control {
+
+namespace {
+    constexpr std::size_t kMostRequestBytes = 4'096;
+    // A document and a list of some ten thousand servers.
+    constexpr std::size_t kMostReplyBytes = 8u << 20;
+}
+
+template <typename Archive>
+void serialize(Archive& archive, JoinRequest& message)
+{
+    archive(message.name);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ListVersion& version)
+{
+    archive(version.epoch, version.revision);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, WatchRequest& message)
+{
+    archive(message.instance, message.documentVersion, message.list);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, WatchReply& message)
+{
+    archive(message.leads, message.leader, message.members, message.entryInstances, message.documentVersion, message.document, message.list, message.servers, message.listAge);
+}
+
+std::string encodeJoin(const JoinRequest& message) { return detail::encodeValue(message); }
+std::optional<JoinRequest> decodeJoin(std::string_view bytes) { return detail::decodeValue<JoinRequest>(bytes, kMostRequestBytes); }
+std::string encodeWatch(const WatchRequest& message) { return detail::encodeValue(message); }
+std::optional<WatchRequest> decodeWatch(std::string_view bytes) { return detail::decodeValue<WatchRequest>(bytes, kMostRequestBytes); }
+std::string encodeWatchReply(const WatchReply& message) { return detail::encodeValue(message); }
+std::optional<WatchReply> decodeWatchReply(std::string_view bytes) { return detail::decodeValue<WatchReply>(bytes, kMostReplyBytes); }
+
+} // namespace curranttrail::control
--- a/control/messages.h
+++ b/control/messages.h
@@ -48,6 +48,13 @@
     Verdict outcome = Verdict::MayHaveRun;
 };
 
+// Replace the whole configuration document of the owner's routes. The highest version wins; a lower or equal one changes nothing.
+struct SetDocument {
+    std::uint64_t version = 0;
+    // The bytes that the operator sent, unchanged.
+    std::string content;
+};
+
 // The members of the control group after this entry. At most one replica changes in each step.
 struct ChangeMembers {
     std::set<InstanceName> voters;
@@ -57,7 +64,7 @@
 // First entry of a term; commits the entries of earlier terms.
 struct NoOperation { };
 
-using Command = std::variant<NoOperation, SetClass, ClaimRequest, SettleClaimRequest, ChangeMembers>;
+using Command = std::variant<NoOperation, SetClass, ClaimRequest, SettleClaimRequest, ChangeMembers, SetDocument>;
 
 struct LogEntry {
     Term term = 0;
@@ -129,8 +136,15 @@
     CommandResult result;
 };
 
+// The configuration document in force. Version 0 means that none was ever accepted.
+struct HeldDocument {
+    std::uint64_t version = 0;
+    std::string content;
+};
+
 struct MachineState {
     OwnerConfiguration configuration;
+    HeldDocument document;
     // In order of application, oldest first.
     std::deque<ChangeRecord> changes;
     std::map<std::string, Claim> claims;
@@ -275,6 +289,11 @@
     OwnerConfiguration configuration;
 };
 
+// A higher document version was committed. The driver reads it from the committed state.
+struct DocumentCommitted {
+    std::uint64_t version = 0;
+};
+
 enum class Role {
     Follower,
     PreCandidate,
@@ -291,7 +310,16 @@
     { Role::Learner, "learner" },
 } };
 
-using Effect = std::variant<SendToPeer, WriteJournal, Respond, ConfigurationCommitted, LogEvent>;
+using Effect = std::variant<SendToPeer, WriteJournal, Respond, ConfigurationCommitted, DocumentCommitted, LogEvent>;
+
+// What the leader knows of another member.
+struct MemberHealth {
+    InstanceName name;
+    // The time since its last reply, or since this leader was elected if it has not replied since.
+    Micros silence { 0 };
+    // True once it holds the committed log and is not being repaired.
+    bool caughtUp = false;
+};
 
 // What status shows of a replica.
 struct ReplicaStatus {
--- a/control/serialization.cpp
+++ b/control/serialization.cpp
@@ -1,6 +1,6 @@
 #include "control/serialization.h"
 
-#include "control/bounded_archive.h"
+#include "control/value_encoding.h"
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/chrono.hpp>
@@ -10,8 +10,6 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 
-#include <exception>
-#include <sstream>
 #include <utility>
 
 namespace curranttrail {
@@ -98,6 +96,18 @@
     archive(command.voters, command.learners);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, SetDocument& command)
+{
+    archive(command.version, command.content);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, HeldDocument& document)
+{
+    archive(document.version, document.content);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, LogEntry& entry)
 {
@@ -136,7 +146,7 @@
 template <typename Archive>
 void serialize(Archive& archive, MachineState& state)
 {
-    archive(state.configuration);
+    archive(state.configuration, state.document);
     serializeSequence(archive, state.changes);
     archive(state.claims, state.latestProposal, state.voters, state.learners);
 }
@@ -197,38 +207,8 @@
     archive(record.firstSegment, record.hardState, record.snapshot);
 }
 
-namespace {
-
-    template <typename T>
-    std::string encodeValue(const T& value)
-    {
-        std::ostringstream stream;
-        stream.put(static_cast<char>(kFormatVersion));
-        {
-            cereal::PortableBinaryOutputArchive archive(stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
-            archive(value);
-        }
-        return std::move(stream).str();
-    }
-
-    template <typename T>
-    std::optional<T> decodeValue(std::string_view bytes, std::size_t limit)
-    {
-        if (bytes.empty() || bytes.size() > limit || static_cast<std::uint8_t>(bytes.front()) != kFormatVersion)
-            return std::nullopt;
-        try {
-            detail::BoundedInputArchive archive(bytes.substr(1));
-            T value;
-            archive(value);
-            if (archive.remaining() != 0)
-                return std::nullopt;
-            return value;
-        } catch (const std::exception&) {
-            return std::nullopt;
-        }
-    }
-
-} // namespace
+using detail::decodeValue;
+using detail::encodeValue;
 
 std::string encodePeerMessage(const PeerMessage& message) { return encodeValue(message); }
 
--- a/control/serialization.h
+++ b/control/serialization.h
@@ -12,7 +12,8 @@
 // Decoders accept only complete input of a known version within the size limits, and never throw.
 namespace curranttrail::control {
 
-inline constexpr std::uint8_t kFormatVersion = 1;
+// Version 2 added the configuration document to commands and state.
+inline constexpr std::uint8_t kFormatVersion = 2;
 // A command, a result or a peer message other than a snapshot.
 inline constexpr std::size_t kMaximumMessageBytes = 4u << 20;
 // A snapshot and a peer message that carries one.
--- a/control/state_machine.cpp
+++ b/control/state_machine.cpp
@@ -26,9 +26,15 @@
         return !text.empty() && text.size() <= maximumLength && std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
     }
 
+    // An instance may be named by its address, so dots and colons are allowed too.
+    bool isInstanceName(const std::string& text)
+    {
+        return !text.empty() && text.size() <= kMaximumNameLength && std::all_of(text.begin(), text.end(), [](char c) { return isNameCharacter(c) || c == '.' || c == ':'; });
+    }
+
     bool areNames(const std::set<InstanceName>& names)
     {
-        return std::all_of(names.begin(), names.end(), isName);
+        return std::all_of(names.begin(), names.end(), isInstanceName);
     }
 
     // Lengths are part of the digested text, so that two changes never have the same one.
@@ -91,7 +97,7 @@
         if (command.voters.size() + command.learners.size() > kMaximumMembers)
             return "a group has at most 32 members";
         if (!areNames(command.voters) || !areNames(command.learners))
-            return "an instance name is not 1 to 64 characters of [a-z0-9_-]";
+            return "an instance name is not 1 to 64 characters of [a-z0-9_.:-]";
         for (const InstanceName& name : command.learners) {
             if (command.voters.contains(name))
                 return "an instance is both voter and learner";
@@ -99,6 +105,15 @@
         return {};
     }
 
+    std::string invalidCommand(const SetDocument& command, const OwnerName&)
+    {
+        if (command.version == 0)
+            return "the document version is 0";
+        if (command.content.size() > kMaximumDocumentBytes)
+            return "the document is larger than 2 MiB";
+        return {};
+    }
+
     CommandResult resultOf(CommandStatus status, std::string message = {})
     {
         CommandResult result;
@@ -264,6 +279,15 @@
     return resultOf(CommandStatus::Accepted);
 }
 
+CommandResult StateMachine::applyCommand(const SetDocument& command)
+{
+    if (command.version > m_state.document.version)
+        m_state.document = { command.version, command.content };
+    CommandResult result = resultOf(CommandStatus::Accepted);
+    result.version.value = m_state.document.version;
+    return result;
+}
+
 void StateMachine::dropExpiredClaims()
 {
     while (!m_claimExpiry.empty() && m_claimExpiry.begin()->first < m_state.latestProposal) {
--- a/control/state_machine.h
+++ b/control/state_machine.h
@@ -10,6 +10,8 @@
 inline constexpr std::size_t kMaximumClaims = 500'000;
 inline constexpr std::size_t kMaximumClasses = 4'096;
 inline constexpr std::size_t kMaximumMembers = 32;
+// A document is one entry of the log and must fit into one message between replicas.
+inline constexpr std::size_t kMaximumDocumentBytes = 2u << 20;
 inline constexpr std::size_t kMaximumNameLength = 64;
 inline constexpr std::size_t kMaximumIdLength = 128;
 inline constexpr std::size_t kMaximumHolderLength = 256;
@@ -40,6 +42,7 @@
     CommandResult applyCommand(const ClaimRequest& command);
     CommandResult applyCommand(const SettleClaimRequest& command);
     CommandResult applyCommand(const ChangeMembers& command);
+    CommandResult applyCommand(const SetDocument& command);
     CommandResult changeClass(const SetClass& command);
     CommandResult claimAgain(Claim& claim, const ClaimRequest& command);
     void dropExpiredClaims();
--- /dev/null
+++ b/main/control_feed.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "control/feed.h"
+#include "main/coordinator_settings.h"
+#include "transport/event_sink.h"
+#include "transport/frame_link.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace curranttrail {
+
+// Follows the leader of a control group: finds it among the seeds and the members that replies name, and watches it.
+class ControlFeed {
+public:
+    // Gets each reply of a leader, on the feed's own thread.
+    using Callback = std::function<void(control::WatchReply reply)>;
+
+    ControlFeed(const InstanceName& name, GroupContact contact, transport::EventSink& sink, Callback callback);
+    ~ControlFeed();
+    ControlFeed(const ControlFeed&) = delete;
+    ControlFeed& operator=(const ControlFeed&) = delete;
+
+    // Uses other seeds from now on.
+    void setSeeds(std::vector<transport::Endpoint> seeds);
+
+private:
+    void watch();
+    void take(const transport::RequestResult& result);
+    void takeReply(control::WatchReply reply);
+    void lose(std::string_view reason);
+    void target(const InstanceName& name);
+    void targetNext();
+    void watchAfter(Micros pause);
+
+    const InstanceName m_name;
+    GroupContact m_contact;
+    transport::EventSink& m_sink;
+    Callback m_callback;
+    const transport::LinkOptions m_options;
+    // Used on the loop's thread.
+    control::WatchRequest m_held;
+    std::set<InstanceName> m_members;
+    InstanceName m_target;
+    bool m_following = false;
+    bool m_everFollowed = false;
+    unsigned m_redirects = 0;
+    transport::FrameLoop m_loop;
+    std::unique_ptr<transport::FrameClient> m_client;
+};
+
+} // namespace curranttrail
--- a/main/control_runtime.cpp
+++ b/main/control_runtime.cpp
@@ -107,14 +107,14 @@
     handle(control::Recovered { std::move(m_recovered) });
     while (true) {
         std::deque<Item> items = waitForItems();
-        if (items.empty() && m_reducer.nextWakeup() > transport::monotonicNow()) {
+        if (items.empty() && m_reducer.nextWakeup() > transport::bootTimeNow()) {
             const std::lock_guard lock(m_mutex);
             if (m_stopping && m_queue.empty())
                 break;
         }
         for (Item& item : items)
             process(item);
-        if (m_reducer.nextWakeup() <= transport::monotonicNow())
+        if (m_reducer.nextWakeup() <= transport::bootTimeNow())
             handle(control::Tick {});
     }
     for (const auto& [token, callback] : std::exchange(m_callbacks, {}))
@@ -129,7 +129,7 @@
     if (wakeup == kNever)
         m_changed.wait(lock, awake);
     else
-        m_changed.wait_until(lock, wakeup, awake);
+        m_changed.wait_for(lock, wakeup - transport::bootTimeNow(), awake);
     return std::exchange(m_queue, {});
 }
 
@@ -140,7 +140,7 @@
         return;
     }
     if (const View* view = std::get_if<View>(&item)) {
-        (*view)(m_reducer, transport::monotonicNow());
+        (*view)(m_reducer, transport::bootTimeNow());
         return;
     }
     Submission& submission = std::get<Submission>(item);
@@ -154,7 +154,7 @@
 
 void ControlRuntime::handle(const control::Event& event)
 {
-    for (control::Effect& effect : m_reducer.handle(event, transport::monotonicNow()))
+    for (control::Effect& effect : m_reducer.handle(event, transport::bootTimeNow()))
         take(effect);
 }
 
@@ -171,6 +171,9 @@
         const ResultCallback callback = std::move(it->second);
         m_callbacks.erase(it);
         callback(respond->result);
+    } else if (const control::DocumentCommitted* document = std::get_if<control::DocumentCommitted>(&effect)) {
+        if (m_onDocument)
+            m_onDocument(document->version);
     } else if (const LogEvent* event = std::get_if<LogEvent>(&effect)) {
         m_sink.log(*event);
     }
--- a/main/control_runtime.h
+++ b/main/control_runtime.h
@@ -41,6 +41,8 @@
     void submit(control::Command command, ResultCallback callback);
     // Runs the function on the control thread with the reducer and the current time.
     void view(View function);
+    // Called on the control thread when a higher document version is committed. Set before start().
+    void onDocument(std::function<void(std::uint64_t version)> callback) { m_onDocument = std::move(callback); }
 
 private:
     struct Submission {
@@ -72,6 +74,7 @@
     // Only used on the control thread.
     std::uint64_t m_lastToken = 0;
     std::map<std::uint64_t, ResultCallback> m_callbacks;
+    std::function<void(std::uint64_t)> m_onDocument;
 };
 
 } // namespace curranttrail
--- /dev/null
+++ b/main/coordinator_daemon.cpp
@@ -0,0 +1,225 @@
+#include "main/coordinator_daemon.h"
+
+#include "control/group_steward.h"
+#include "main/control_runtime.h"
+#include "main/document_api.h"
+#include "main/events.h"
+#include "main/feed_events.h"
+#include "main/feed_publisher.h"
+#include "main/group_links.h"
+#include "main/server_list_poller.h"
+#include "transport/http_router.h"
+#include "transport/http_server.h"
+#include "transport/io_threads.h"
+#include "transport/metrics.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <future>
+#include <random>
+
+namespace curranttrail {
+
+namespace {
+    // How often the steward looks at the group, waiting watchers are checked and a missing leader is noticed.
+    constexpr Micros kTick { 200'000 };
+    constexpr Micros kListInterval { 1'000'000 };
+    constexpr Micros kJoinInterval { 1'000'000 };
+    // Heartbeats and elections of a group that spans data centres on small shares of a processor.
+    constexpr Micros kHeartbeat { 120'000 };
+    constexpr Micros kElectionLeast { 800'000 };
+    constexpr Micros kElectionMost { 1'500'000 };
+    constexpr Micros kLease { 650'000 };
+    // Documents are large, so few of them are kept behind a snapshot.
+    constexpr std::size_t kCompactionEntries = 48;
+    constexpr std::size_t kRetainedEntries = 12;
+    constexpr std::size_t kMostDocumentBytes = 4u << 20;
+    constexpr std::size_t kLeastVoters = 3;
+}
+
+struct CoordinatorDaemon::Implementation {
+    Implementation(const CoordinatorSettings& given, transport::EventSink& eventSink)
+        : settings(given)
+        , self(settings.group.text())
+        , sink(eventSink)
+        , links(self, settings.group, settings.contact.linkKey, sink)
+        , runtime(reducerOptions(settings), settings.dataFolder, sink,
+              [this](const InstanceName& to, const control::PeerMessage& message) { links.sendToPeer(to, message); })
+        , steward(std::max<std::size_t>(kLeastVoters, static_cast<std::size_t>(2 * settings.lostDisks + 1)))
+        , publisher(links.loop(), runtime, sink)
+        , poller(threads, settings.serverList, settings.listCallsPerSecond, sink, [this](routing::ServerList servers) { publisher.setServers(std::move(servers)); })
+        , api(runtime, sink, settings.http.port)
+        , seeds(settings.contact.seeds)
+    {
+        api.addRoutes(router);
+        transport::HttpServerOptions options;
+        options.bind = settings.http;
+        options.bodyBytes = kMostDocumentBytes;
+        server.emplace(threads, options, [this](transport::HttpRequest request, const transport::Responder& responder) { router(std::move(request), responder); });
+        if (settings.metrics.port == 0)
+            return;
+        transport::addHealthRoutes(healthRouter, sink, metrics, [] { return std::nullopt; });
+        options.bind = settings.metrics;
+        metricsServer.emplace(threads, options, [this](transport::HttpRequest request, const transport::Responder& responder) { healthRouter(std::move(request), responder); });
+    }
+
+    static control::ControlOptions reducerOptions(const CoordinatorSettings& settings)
+    {
+        control::ControlOptions options;
+        options.name = settings.group.text();
+        // Only the first start of the seeds founds a group; every other instance learns its members from the log.
+        for (const transport::Endpoint& seed : settings.contact.seeds)
+            options.initialVoters.insert(memberName(settings.contact, seed));
+        const bool isSeed = options.initialVoters.contains(options.name);
+        options.bootstrap = settings.bootstrap && isSeed;
+        if (!isSeed)
+            options.initialVoters.clear();
+        std::random_device device;
+        options.seed = (static_cast<std::uint64_t>(device()) << 32) | device();
+        options.heartbeat = kHeartbeat;
+        options.electionTimeoutLeast = kElectionLeast;
+        options.electionTimeoutMost = kElectionMost;
+        options.lease = kLease;
+        options.compactionEntries = kCompactionEntries;
+        options.retainedEntries = kRetainedEntries;
+        return options;
+    }
+
+    void start()
+    {
+        GroupLinks::Handlers handlers;
+        handlers.peer = [this](const InstanceName& from, control::PeerMessage message) { runtime.receive(from, std::move(message)); };
+        handlers.join = [this](const InstanceName& name) { steward.noteJoin(name, transport::monotonicNow()); };
+        handlers.watch = [this](control::WatchRequest request, transport::FrameResponder respond) { publisher.watch(std::move(request), std::move(respond)); };
+        runtime.onDocument([this](std::uint64_t) { publisher.documentChanged(); });
+        runtime.start();
+        links.start(std::move(handlers));
+        scheduleTick();
+    }
+
+    void scheduleTick()
+    {
+        links.loop().after(kTick, [this] {
+            publisher.tick();
+            runtime.view([this](const control::ControlReducer& reducer, TimePoint now) { look(reducer, now); });
+            scheduleTick();
+        });
+    }
+
+    // Runs on the control thread and hands over to the frame loop.
+    void look(const control::ControlReducer& reducer, TimePoint now)
+    {
+        const control::ReplicaStatus status = reducer.status(now);
+        noteMetrics(status);
+        control::GroupView view { self, status.voters, status.learners, reducer.memberHealth(now), reducer.membersRecorded() };
+        links.loop().post([this, status, view = std::move(view)] { act(status, view); });
+    }
+
+    void act(const control::ReplicaStatus& status, const control::GroupView& view)
+    {
+        const TimePoint now = transport::monotonicNow();
+        if (status.role != control::Role::Leader) {
+            const bool placed = status.leader && (status.voters.contains(self) || status.learners.contains(self));
+            if (!placed && now - lastJoin >= kJoinInterval)
+                join(status, now);
+            return;
+        }
+        if (!status.leaseValid)
+            return;
+        if (now - lastPoll >= kListInterval) {
+            lastPoll = now;
+            poller.poll();
+        }
+        if (changing)
+            return;
+        const std::optional<control::ChangeMembers> change = steward.nextChange(view, now);
+        if (!change)
+            return;
+        changing = true;
+        sink.log(events::kMembersProposed, { { "voters", fmt::format("{}", fmt::join(change->voters, ",")) }, { "learners", fmt::format("{}", fmt::join(change->learners, ",")) } });
+        runtime.submit(*change, [this](const control::CommandResult& result) {
+            if (result.status != control::CommandStatus::Accepted)
+                sink.log(events::kMembersRefused, { { "status", std::string { nameOf(control::kCommandStatusNames, result.status) } }, { "reason", result.message } });
+            links.loop().post([this] { changing = false; });
+        });
+    }
+
+    void join(const control::ReplicaStatus& status, TimePoint now)
+    {
+        lastJoin = now;
+        std::set<InstanceName> targets = status.voters;
+        for (const transport::Endpoint& seed : seeds)
+            targets.insert(memberName(settings.contact, seed));
+        sink.log(events::kJoinRequested, { { "targets", fmt::format("{}", fmt::join(targets, ",")) }, { "term", fmt::to_string(status.term) } });
+        for (const InstanceName& target : targets)
+            links.sendJoin(target);
+    }
+
+    void noteMetrics(const control::ReplicaStatus& status)
+    {
+        metrics.gauge("curranttrail_control_term", "Term of this replica.").set(static_cast<double>(status.term));
+        metrics.gauge("curranttrail_control_commit_index", "Index of the last committed entry.").set(static_cast<double>(status.commitIndex));
+        metrics.gauge("curranttrail_control_leads", "1 if this replica leads with a valid lease.").set(status.role == control::Role::Leader && status.leaseValid ? 1 : 0);
+        metrics.gauge("curranttrail_control_voters", "Voters of the group.").set(static_cast<double>(status.voters.size()));
+    }
+
+    void stop(std::chrono::milliseconds limit)
+    {
+        if (!server)
+            return;
+        const std::shared_ptr<std::promise<void>> idle = std::make_shared<std::promise<void>>();
+        std::future<void> done = idle->get_future();
+        server->stop(limit, [idle] { idle->set_value(); });
+        if (limit.count() > 0 && done.wait_for(limit + std::chrono::seconds { 1 }) != std::future_status::ready)
+            sink.log(events::kDrainTimedOut);
+        server.reset();
+        metricsServer.reset();
+        threads.stop();
+        runtime.stop();
+        links.stop();
+    }
+
+    const CoordinatorSettings settings;
+    const InstanceName self;
+    transport::EventSink& sink;
+    transport::Metrics metrics;
+    transport::IoThreads threads { 1 };
+    GroupLinks links;
+    ControlRuntime runtime;
+    // Used on the frame loop's thread.
+    control::GroupSteward steward;
+    FeedPublisher publisher;
+    ServerListPoller poller;
+    DocumentApi api;
+    std::vector<transport::Endpoint> seeds;
+    TimePoint lastPoll;
+    TimePoint lastJoin;
+    bool changing = false;
+    transport::HttpRouter router;
+    transport::HttpRouter healthRouter;
+    std::optional<transport::HttpServer> server;
+    std::optional<transport::HttpServer> metricsServer;
+};
+
+CoordinatorDaemon::CoordinatorDaemon(const CoordinatorSettings& settings, transport::EventSink& sink)
+    : m_implementation(std::make_unique<Implementation>(settings, sink))
+{
+}
+
+CoordinatorDaemon::~CoordinatorDaemon()
+{
+    stop(std::chrono::milliseconds { 0 });
+}
+
+void CoordinatorDaemon::start() { m_implementation->start(); }
+
+void CoordinatorDaemon::setSeeds(std::vector<transport::Endpoint> seeds)
+{
+    Implementation& implementation = *m_implementation;
+    implementation.links.loop().post([&implementation, seeds = std::move(seeds)]() mutable { implementation.seeds = std::move(seeds); });
+}
+
+void CoordinatorDaemon::stop(std::chrono::milliseconds limit) { m_implementation->stop(limit); }
+
+} // namespace curranttrail
--- /dev/null
+++ b/main/coordinator_main.cpp
@@ -0,0 +1,6 @@
+#include "main/coordinator_program.h"
+
+int main(int argc, char** argv)
+{
+    return curranttrail::runCoordinatorProgram(argc, argv);
+}
--- /dev/null
+++ b/main/coordinator_program.cpp
@@ -0,0 +1,44 @@
+#include "main/coordinator_program.h"
+
+#include "main/coordinator_daemon.h"
+#include "main/daemon_program.h"
+#include "main/events.h"
+#include "main/feed_events.h"
+#include "main/settings_path.h"
+#include "main/stop_request.h"
+
+namespace curranttrail {
+
+namespace {
+
+    int run(const std::string& path, const CoordinatorSettings& settings)
+    {
+        transport::EventSink sink(standardOutputLog(settings.name));
+        sink.log(events::kStarting, { { "version", CURRANTTRAIL_VERSION }, { "data_centre", settings.dataCentre }, { "address", settings.group.text() }, { "bootstrap", settings.bootstrap ? "true" : "false" } });
+        transport::IoThreads threads(1);
+        CoordinatorDaemon daemon(settings, sink);
+        StopRequest stop(threads, [&] {
+            if (const std::optional<CoordinatorSettings> changed = reloadSettings<CoordinatorSettings>(path, &readCoordinatorSettings, sink))
+                daemon.setSeeds(changed->contact.seeds);
+        });
+        daemon.start();
+        sink.log(events::kReady, { { "http_port", std::to_string(settings.http.port) }, { "group_port", std::to_string(settings.group.port) } });
+        stop.wait();
+        sink.log(events::kDraining);
+        daemon.stop(std::chrono::duration_cast<std::chrono::milliseconds>(settings.stopLimit));
+        sink.log(events::kStopped);
+        return 0;
+    }
+
+} // namespace
+
+int runCoordinatorProgram(int argc, const char* const* argv)
+{
+    return runGuarded("curranttrail-coordinator", [&] {
+        const SettingsArguments arguments = parseSettingsArguments(argc, argv, "Control instance of curranttrail that finds its group through seeds and holds the configuration document.");
+        return runWithSettings<CoordinatorSettings>(arguments.path, arguments.checkOnly, &readCoordinatorSettings,
+            [&](const CoordinatorSettings& settings) { return run(arguments.path, settings); });
+    });
+}
+
+} // namespace curranttrail
--- /dev/null
+++ b/main/coordinator_settings.cpp
@@ -0,0 +1,46 @@
+#include "main/coordinator_settings.h"
+
+namespace curranttrail {
+
+namespace {
+    constexpr std::size_t kLeastKeyCharacters = 32;
+}
+
+GroupContact readGroupContact(const SettingsTable& table)
+{
+    GroupContact contact;
+    contact.seeds = table.endpoints("seeds");
+    contact.groupPort = static_cast<std::uint16_t>(table.integer("group_port", 1, 65'535));
+    contact.linkKey = table.text("link_key");
+    if (!contact.linkKey.empty() && contact.linkKey.size() < kLeastKeyCharacters)
+        table.reject("link_key", "expected at least 32 characters");
+    return contact;
+}
+
+InstanceName memberName(const GroupContact& contact, const transport::Endpoint& seed)
+{
+    return transport::Endpoint { seed.address, contact.groupPort }.text();
+}
+
+CoordinatorSettings readCoordinatorSettings(const SettingsFile& file)
+{
+    const SettingsTable root = file.root();
+    CoordinatorSettings settings;
+    settings.name = root.text("name");
+    settings.dataCentre = root.text("data_centre");
+    settings.dataFolder = root.text("data_folder");
+    settings.http = root.endpoint("http");
+    settings.metrics = root.endpoint("metrics", settings.metrics);
+    settings.stopLimit = root.duration("stop_limit", settings.stopLimit, Micros { 0 }, Micros { 60'000'000 });
+    const SettingsTable group = root.table("group");
+    settings.group = group.endpoint("address");
+    settings.contact = readGroupContact(group);
+    settings.bootstrap = group.boolean("bootstrap", false);
+    settings.lostDisks = group.integer("lost_disks", 1, 0, 4);
+    const SettingsTable list = root.table("server_list");
+    settings.serverList = list.endpoint("address");
+    settings.listCallsPerSecond = list.real("calls_per_second", 10, 0.1, 100'000);
+    return settings;
+}
+
+} // namespace curranttrail
--- /dev/null
+++ b/main/document_api.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "main/control_runtime.h"
+#include "transport/event_sink.h"
+#include "transport/http_router.h"
+
+namespace curranttrail {
+
+// The operator's calls for the configuration document, answered by the group's leader; other replicas name the leader.
+class DocumentApi {
+public:
+    // The port is that of this API, the same on all control instances.
+    DocumentApi(ControlRuntime& runtime, transport::EventSink& sink, std::uint16_t port);
+
+    void addRoutes(transport::HttpRouter& router);
+
+private:
+    void put(const transport::HttpRequest& request, const transport::Responder& responder);
+    void get(const transport::Responder& responder);
+    transport::HttpResponse elsewhere(const std::optional<InstanceName>& leader) const;
+
+    ControlRuntime& m_runtime;
+    transport::EventSink& m_sink;
+    const std::uint16_t m_port;
+};
+
+} // namespace curranttrail
--- a/main/event_catalogue.cpp
+++ b/main/event_catalogue.cpp
@@ -3,8 +3,10 @@
 #include "control/events.h"
 #include "main/control_events.h"
 #include "main/events.h"
+#include "main/feed_events.h"
 #include "membership/events.h"
 #include "query/events.h"
+#include "routing/events.h"
 #include "storage/events.h"
 #include "transport/events.h"
 #include "usage/events.h"
@@ -28,12 +30,14 @@
     return {
         group("core and main", 1000, kMainEvents),
         group("control daemon", 1100, kControlDaemonEvents),
+        group("gateway and coordinator", 1200, kFeedEvents),
         group("query and policy", 2000, query::kEventCatalogue),
         group("control", 3000, control::kControlEvents),
         group("membership", 4000, membership::events::kCatalogue),
         group("usage", 5000, usage::events::kCatalogue),
         group("storage", 6000, storage::kStorageEvents),
         group("transport", 7000, transport::kTransportEvents),
+        group("routing", 8000, routing::kRoutingEvents),
     };
 }
 
--- /dev/null
+++ b/main/feed_publisher.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "control/control_reducer.h"
+#include "control/feed.h"
+#include "main/control_runtime.h"
+#include "transport/event_sink.h"
+#include "transport/frame_link.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace curranttrail {
+
+// Answers the entry instances that watch this control instance: at once if there is news or this instance does not lead, else
+// when news comes or after a while. All functions run on the frame loop's thread unless they say otherwise.
+class FeedPublisher {
+public:
+    FeedPublisher(transport::FrameLoop& loop, ControlRuntime& runtime, transport::EventSink& sink);
+
+    void watch(control::WatchRequest request, transport::FrameResponder respond);
+    // Takes a complete list of servers. May be called from any thread.
+    void setServers(routing::ServerList servers);
+    // Answers all that wait, because a document was committed. May be called from any thread.
+    void documentChanged();
+    // Answers those that have waited for long.
+    void tick();
+
+private:
+    struct Waiting {
+        control::WatchRequest request;
+        transport::FrameResponder respond;
+        TimePoint since;
+    };
+
+    void answer(Waiting waiting, bool mayWait);
+    void answerAll();
+    void reply(const Waiting& waiting, const control::ReplicaStatus& status, const control::HeldDocument& document);
+    std::vector<InstanceName> entryInstances(TimePoint now);
+
+    transport::FrameLoop& m_loop;
+    ControlRuntime& m_runtime;
+    transport::EventSink& m_sink;
+    std::vector<Waiting> m_waiting;
+    std::map<InstanceName, TimePoint> m_seen;
+    control::ListVersion m_version;
+    std::shared_ptr<const routing::ServerList> m_servers;
+    TimePoint m_listedAt;
+};
+
+} // namespace curranttrail
--- /dev/null
+++ b/main/gateway_daemon.cpp
@@ -0,0 +1,414 @@
+#include "main/gateway_daemon.h"
+
+#include "main/control_feed.h"
+#include "main/events.h"
+#include "main/feed_events.h"
+#include "platform/http_fields.h"
+#include "platform/http_names.h"
+#include "platform/route_document_json.h"
+#include "routing/router.h"
+#include "transport/metrics.h"
+#include "transport/raw_http_client.h"
+#include "transport/raw_http_server.h"
+
+#include <boost/asio.hpp>
+#include <fmt/format.h>
+
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+namespace curranttrail {
+
+namespace asio = boost::asio;
+using transport::ExchangeId;
+using transport::RawReply;
+using transport::RawRequest;
+
+namespace {
+    // The balancer asks once a second and takes an instance out after two misses.
+    constexpr Micros kBalancerDelay { 2'300'000 };
+    // Requests still unanswered this long before the forced end are given up.
+    constexpr Micros kLastAnswers { 500'000 };
+    // Kept connections without a request are closed this long before the forced end.
+    constexpr Micros kIdleClose { 1'800'000 };
+    constexpr std::chrono::milliseconds kStopCheck { 50 };
+
+    struct Refusal {
+        unsigned status;
+        std::string_view error;
+    };
+
+    // Statuses that state that nothing ran are used only where that is true.
+    Refusal refusalOf(const routing::RefuseRequest& refusal)
+    {
+        if (refusal.reason == routing::RefusalReason::NoRoute)
+            return { 404, "no_route" };
+        if (refusal.notRun)
+            return { 503, nameOf(routing::kRefusalReasonNames, refusal.reason) };
+        if (refusal.reason == routing::RefusalReason::TimedOut)
+            return { 504, "timed_out" };
+        return { 502, nameOf(routing::kRefusalReasonNames, refusal.reason) };
+    }
+}
+
+struct GatewayDaemon::Implementation {
+    // A caller's request while it is in flight.
+    struct Exchange {
+        RawRequest request;
+        std::string requestId;
+        transport::HttpFields forwarded;
+        TimePoint since;
+    };
+
+    // What is on a connection to a backend server.
+    struct OnConnection {
+        AttemptId attempt;
+        std::string requestId;
+    };
+
+    Implementation(const GatewaySettings& given, transport::EventSink& eventSink)
+        : settings(given)
+        , sink(eventSink)
+        , router(routerOptions(given))
+        , timer(context)
+        , stopTimer(context)
+        , client(context, clientHandlers())
+        , callers(context, given.callers, callerHandlers())
+        , ready(context, given.ready, readyHandlers())
+        , latency(metrics.latency("curranttrail_request_latency_seconds", "Time from the whole request to its answer."))
+    {
+        if (settings.metrics.port != 0)
+            metricsServer.emplace(context, settings.metrics, metricsHandlers());
+    }
+
+    static routing::RouterOptions routerOptions(const GatewaySettings& settings)
+    {
+        routing::RouterOptions options;
+        options.name = settings.name;
+        options.dataCentre = settings.dataCentre;
+        std::random_device device;
+        options.seed = (static_cast<std::uint64_t>(device()) << 32) | device();
+        options.repeatRatio = settings.repeatRatio;
+        options.repeatAllowance = settings.repeatAllowance;
+        return options;
+    }
+
+    transport::RawHttpServer::Handlers callerHandlers()
+    {
+        transport::RawHttpServer::Handlers handlers;
+        handlers.request = [this](ExchangeId exchange, RawRequest request) { arrived(exchange, std::move(request)); };
+        handlers.gone = [this](ExchangeId exchange) {
+            exchanges.erase(exchange.value);
+            feedRouter(routing::RequestAbandoned { { exchange.value } });
+        };
+        return handlers;
+    }
+
+    transport::RawHttpServer::Handlers readyHandlers()
+    {
+        transport::RawHttpServer::Handlers handlers;
+        handlers.request = [this](ExchangeId exchange, const RawRequest& request) {
+            RawReply reply;
+            reply.status = request.path() != platform::kReadyPath ? 404 : (isReady() ? 200 : 503);
+            ready.respond(exchange, reply);
+        };
+        handlers.gone = [](ExchangeId) {};
+        return handlers;
+    }
+
+    transport::RawHttpServer::Handlers metricsHandlers()
+    {
+        transport::RawHttpServer::Handlers handlers;
+        handlers.request = [this](ExchangeId exchange, const RawRequest&) {
+            RawReply reply;
+            reply.status = 200;
+            reply.fields = { { "Content-Type", "text/plain; version=0.0.4" } };
+            reply.body = metricsText();
+            metricsServer->respond(exchange, reply);
+        };
+        handlers.gone = [](ExchangeId) {};
+        return handlers;
+    }
+
+    transport::RawHttpClient::Handlers clientHandlers()
+    {
+        transport::RawHttpClient::Handlers handlers;
+        handlers.opened = [this](ConnectionId connection) { feedRouter(routing::ConnectionOpened { connection }); };
+        handlers.lost = [this](ConnectionId connection, std::string reason) { feedRouter(routing::ConnectionLost { connection, std::move(reason) }); };
+        handlers.replied = [this](ConnectionId connection, RawReply reply, bool closing) { replied(connection, std::move(reply), closing); };
+        handlers.broken = [this](ConnectionId connection, std::string reason) {
+            const auto it = onConnections.find(connection);
+            if (it == onConnections.end())
+                return;
+            const AttemptId attempt = it->second.attempt;
+            onConnections.erase(it);
+            feedRouter(routing::AttemptBroken { attempt, std::move(reason) });
+        };
+        return handlers;
+    }
+
+    bool isReady() const { return router.hasDocument() && listed && !stopping; }
+
+    void noteReadiness()
+    {
+        const bool now = isReady();
+        if (now == wasReady)
+            return;
+        wasReady = now;
+        sink.log(now ? events::kReady : events::kNotReady, { { "version", fmt::to_string(router.documentVersion()) }, { "listed", listed ? "true" : "false" }, { "stopping", stopping ? "true" : "false" } });
+    }
+
+    void arrived(ExchangeId exchange, RawRequest request)
+    {
+        platform::CallerFields caller = platform::decodeCaller(request.fields);
+        routing::RequestArrived event { { exchange.value }, caller.requestId, std::move(caller.host), std::string { request.path() }, caller.patience };
+        Exchange& entry = exchanges[exchange.value];
+        entry.forwarded = platform::forwardedFields(request.fields);
+        entry.requestId = std::move(caller.requestId);
+        entry.request = std::move(request);
+        entry.since = transport::monotonicNow();
+        feedRouter(event);
+    }
+
+    void replied(ConnectionId connection, RawReply reply, bool closing)
+    {
+        const auto it = onConnections.find(connection);
+        if (it == onConnections.end())
+            return;
+        const OnConnection on = std::move(it->second);
+        onConnections.erase(it);
+        routing::ReplyHead head = platform::decodeReplyHead(reply);
+        routing::AttemptReplied event { on.attempt, {} };
+        event.reply.kind = routing::classifyReply(head, on.requestId);
+        event.reply.status = reply.status;
+        event.reply.stamp = std::move(head.stamp).value_or("");
+        event.reply.load = head.load;
+        event.reply.fields = std::move(reply.fields);
+        event.reply.body = std::move(reply.body);
+        event.reply.closing = closing;
+        feedRouter(event);
+    }
+
+    void feedRouter(const routing::Event& event)
+    {
+        for (routing::Effect& effect : router.handle(event, transport::monotonicNow()))
+            std::visit([this](auto& content) { run(content); }, effect);
+        schedule();
+    }
+
+    // The timer is moved only if it would fire too late; a tick that comes early costs less than a cancelled timer.
+    void schedule()
+    {
+        const TimePoint wakeup = router.nextWakeup();
+        if (timerSet && timerAt <= wakeup)
+            return;
+        timerSet = true;
+        timerAt = wakeup;
+        timer.expires_at(wakeup);
+        timer.async_wait([this](const boost::system::error_code& ec) {
+            if (ec)
+                return;
+            timerSet = false;
+            feedRouter(routing::Tick {});
+        });
+    }
+
+    void run(const routing::OpenConnection& effect) { client.open(effect.connection, effect.address); }
+
+    void run(const routing::CloseConnection& effect)
+    {
+        onConnections.erase(effect.connection);
+        client.close(effect.connection);
+    }
+
+    void run(const routing::SendAttempt& effect)
+    {
+        const Exchange& exchange = exchanges.at(effect.request.value);
+        transport::HttpFields fields = exchange.forwarded;
+        platform::addAttemptFields(fields, effect.remaining, effect.instance);
+        onConnections[effect.connection] = { effect.attempt, exchange.requestId };
+        client.send(effect.connection, transport::requestText(exchange.request, fields), exchange.request.method != "HEAD");
+    }
+
+    void run(routing::AnswerReply& effect)
+    {
+        RawReply reply;
+        reply.status = effect.reply.status;
+        reply.fields = platform::returnedFields(effect.reply.fields);
+        reply.body = std::move(effect.reply.body);
+        answer(effect.request, reply);
+    }
+
+    void run(routing::AnswerMerged& effect)
+    {
+        RawReply reply;
+        reply.status = 200;
+        reply.fields = platform::mergedFields(effect.stamps, effect.missing);
+        reply.body = std::move(effect.body);
+        answer(effect.request, reply);
+    }
+
+    void run(const routing::RefuseRequest& effect)
+    {
+        const Refusal refusal = refusalOf(effect);
+        RawReply reply;
+        reply.status = refusal.status;
+        reply.fields = { { "Content-Type", "application/json" } };
+        if (effect.retryAfter)
+            reply.fields.emplace_back("Retry-After", fmt::format("{:.3f}", static_cast<double>(effect.retryAfter->count()) / 1e6));
+        reply.body = transport::refusalBody(refusal.error, effect.notRun ? "not_run" : "may_have_run", nameOf(routing::kRefusalReasonNames, effect.reason));
+        answer(effect.request, reply);
+    }
+
+    void run(const LogEvent& event) { sink.log(event); }
+
+    void answer(routing::RequestKey key, const RawReply& reply)
+    {
+        const auto it = exchanges.find(key.value);
+        if (it == exchanges.end())
+            return;
+        latency.record(std::chrono::duration_cast<std::chrono::microseconds>(transport::monotonicNow() - it->second.since));
+        exchanges.erase(it);
+        callers.respond({ key.value }, reply);
+    }
+
+    void takeFeed(control::WatchReply reply)
+    {
+        if (reply.document)
+            takeDocument(*reply.document);
+        feedRouter(routing::InstancesKnown { std::move(reply.entryInstances) });
+        if (reply.servers) {
+            listed = true;
+            feedRouter(routing::ServersListed { std::move(*reply.servers), reply.listAge });
+        }
+        noteReadiness();
+    }
+
+    void takeDocument(const std::string& content)
+    {
+        std::variant<routing::RouteDocument, platform::DecodeError> decoded = platform::decodeRouteDocument(content);
+        if (const platform::DecodeError* error = std::get_if<platform::DecodeError>(&decoded)) {
+            sink.log(events::kDocumentUnreadable, { { "reason", error->reason } });
+            return;
+        }
+        std::shared_ptr<const routing::RouteDocument> document = std::make_shared<const routing::RouteDocument>(std::get<routing::RouteDocument>(std::move(decoded)));
+        callers.setLimits({ document->limits.headerBytes, document->limits.bodyBytes, document->limits.headerTime, document->limits.idleTime });
+        feedRouter(routing::DocumentInForce { std::move(document) });
+    }
+
+    std::string metricsText()
+    {
+        const routing::RouterCounters& counters = router.counters();
+        std::string text = metrics.prometheusText();
+        const auto add = [&text](std::string_view name, std::string_view labels, std::uint64_t value) { text += fmt::format("curranttrail_{}{} {}\n", name, labels, value); };
+        add("requests_total", "", counters.arrived);
+        add("answers_total", "", counters.answered);
+        add("late_answers_total", "", counters.late);
+        add("partial_answers_total", "", counters.partial);
+        add("abandoned_requests_total", "", counters.abandoned);
+        for (const EnumName<routing::RefusalReason>& row : routing::kRefusalReasonNames)
+            add("refusals_total", fmt::format("{{reason=\"{}\"}}", row.name), counters.refused[static_cast<std::size_t>(row.value)]);
+        add("attempts_total", "", counters.attempts);
+        add("repeats_total", "", counters.repeats);
+        add("repeats_denied_total", "", counters.repeatsDenied);
+        add("failed_attempts_total", "", counters.attemptsFailed);
+        add("server_connections_opened_total", "", counters.connectionsOpened);
+        add("requests_in_flight", "", router.requestsInFlight());
+        add("document_version", "", router.documentVersion());
+        add("log_lines_dropped_total", "", sink.droppedLines());
+        return text;
+    }
+
+    void beginStop()
+    {
+        if (std::exchange(stopping, true))
+            return;
+        stopAt = transport::monotonicNow();
+        sink.log(events::kDraining, { { "requests", fmt::to_string(router.requestsInFlight()) }, { "connections", fmt::to_string(callers.connections()) } });
+        noteReadiness();
+        callers.retireConnections();
+        checkStop();
+    }
+
+    void checkStop()
+    {
+        const Micros elapsed = std::chrono::duration_cast<Micros>(transport::monotonicNow() - stopAt);
+        if (elapsed >= settings.grace - kIdleClose) {
+            callers.stopAccepting();
+            callers.closeIdle();
+        }
+        const bool idle = elapsed >= kBalancerDelay && callers.connections() == 0;
+        const bool last = elapsed >= settings.grace - kLastAnswers;
+        if (idle || last) {
+            if (callers.exchanges() > 0)
+                sink.log(events::kDrainTimedOut, { { "requests", fmt::to_string(callers.exchanges()) } });
+            context.stop();
+            return;
+        }
+        stopTimer.expires_after(kStopCheck);
+        stopTimer.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec)
+                checkStop();
+        });
+    }
+
+    void runLoop()
+    {
+        feed.emplace(settings.name, settings.contact, sink, [this](control::WatchReply reply) {
+            asio::post(context, [this, reply = std::move(reply)]() mutable { takeFeed(std::move(reply)); });
+        });
+        schedule();
+        const auto work = asio::make_work_guard(context);
+        context.run();
+        feed.reset();
+    }
+
+    const GatewaySettings settings;
+    transport::EventSink& sink;
+    asio::io_context context { 1 };
+    transport::Metrics metrics;
+    routing::Router router;
+    asio::steady_timer timer;
+    asio::steady_timer stopTimer;
+    bool timerSet = false;
+    TimePoint timerAt;
+    std::unordered_map<std::uint64_t, Exchange> exchanges;
+    std::unordered_map<ConnectionId, OnConnection> onConnections;
+    transport::RawHttpClient client;
+    transport::RawHttpServer callers;
+    transport::RawHttpServer ready;
+    std::optional<transport::RawHttpServer> metricsServer;
+    transport::Latency& latency;
+    // The list of servers has come at least once.
+    bool listed = false;
+    bool stopping = false;
+    bool wasReady = false;
+    TimePoint stopAt;
+    std::optional<ControlFeed> feed;
+};
+
+GatewayDaemon::GatewayDaemon(const GatewaySettings& settings, transport::EventSink& sink)
+    : m_implementation(std::make_unique<Implementation>(settings, sink))
+{
+}
+
+GatewayDaemon::~GatewayDaemon() = default;
+
+void GatewayDaemon::run() { m_implementation->runLoop(); }
+
+void GatewayDaemon::stop()
+{
+    asio::post(m_implementation->context, [implementation = m_implementation.get()] { implementation->beginStop(); });
+}
+
+void GatewayDaemon::setSeeds(std::vector<transport::Endpoint> seeds)
+{
+    asio::post(m_implementation->context, [implementation = m_implementation.get(), seeds = std::move(seeds)]() mutable {
+        if (implementation->feed)
+            implementation->feed->setSeeds(std::move(seeds));
+    });
+}
+
+} // namespace curranttrail
--- /dev/null
+++ b/main/gateway_main.cpp
@@ -0,0 +1,6 @@
+#include "main/gateway_program.h"
+
+int main(int argc, char** argv)
+{
+    return curranttrail::runGatewayProgram(argc, argv);
+}
--- /dev/null
+++ b/main/gateway_program.cpp
@@ -0,0 +1,42 @@
+#include "main/gateway_program.h"
+
+#include "main/daemon_program.h"
+#include "main/events.h"
+#include "main/gateway_daemon.h"
+#include "main/settings_path.h"
+#include "transport/io_threads.h"
+#include "transport/signals.h"
+
+namespace curranttrail {
+
+namespace {
+
+    int run(const std::string& path, const GatewaySettings& settings)
+    {
+        transport::EventSink sink(standardOutputLog(settings.name));
+        sink.log(events::kStarting, { { "version", CURRANTTRAIL_VERSION }, { "data_centre", settings.dataCentre }, { "callers", settings.callers.text() } });
+        GatewayDaemon daemon(settings, sink);
+        transport::IoThreads threads(1);
+        const transport::StopSignals signals(
+            threads, [&](int) { daemon.stop(); },
+            [&] {
+                if (const std::optional<GatewaySettings> changed = reloadSettings<GatewaySettings>(path, &readGatewaySettings, sink))
+                    daemon.setSeeds(changed->contact.seeds);
+            });
+        daemon.run();
+        sink.log(events::kStopped);
+        return 0;
+    }
+
+} // namespace
+
+int runGatewayProgram(int argc, const char* const* argv)
+{
+    return runGuarded("curranttrail-gateway", [&] {
+        const SettingsArguments arguments = parseSettingsArguments(argc, argv, "Entry instance of curranttrail that forwards raw HTTP requests by the routes of the configuration document.");
+        return runWithSettings<GatewaySettings>(arguments.path, arguments.checkOnly, &readGatewaySettings,
+            [&](const GatewaySettings& settings) { return run(arguments.path, settings); });
+    });
+}
+
+} // namespace curranttrail
--- /dev/null
+++ b/main/gateway_settings.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "main/coordinator_settings.h"
+
+namespace curranttrail {
+
+// An entry instance that forwards raw HTTP requests by the routes of the configuration document.
+struct GatewaySettings {
+    InstanceName name;
+    DataCentreName dataCentre;
+    // Where callers connect.
+    transport::Endpoint callers { "127.0.0.1", 0 };
+    // Where the balancer asks whether this instance is ready.
+    transport::Endpoint ready { "127.0.0.1", 0 };
+    transport::Endpoint metrics { "127.0.0.1", 0 };
+    GroupContact contact;
+    // Repeats per first request that all instances together may add, and further ones in each window.
+    double repeatRatio = 0.2;
+    double repeatAllowance = 50;
+    // The time from the signal to stop to the forced end.
+    Micros grace { 6'000'000 };
+};
+
+GatewaySettings readGatewaySettings(const SettingsFile& file);
+
+} // namespace curranttrail
--- /dev/null
+++ b/main/group_links.cpp
@@ -0,0 +1,138 @@
+#include "main/group_links.h"
+
+#include "control/serialization.h"
+#include "main/control_events.h"
+#include "transport/control_protocol.h"
+
+#include <utility>
+
+namespace curranttrail {
+
+using transport::FrameResponder;
+using transport::IncomingFrame;
+using transport::MessageType;
+
+namespace {
+    constexpr std::size_t kMostFrameBytes = 16u << 20;
+    constexpr std::chrono::milliseconds kKeepAlive { 300 };
+    // Shorter than the least election time-out, so that a silent connection is replaced before it costs a leader its followers.
+    constexpr std::chrono::milliseconds kSilenceLimit { 700 };
+    // The server side also serves entry instances, which send less often than replicas.
+    constexpr std::chrono::milliseconds kServerSilenceLimit { 3'000 };
+    constexpr std::chrono::milliseconds kHandshakeLimit { 600 };
+    constexpr std::chrono::milliseconds kMostBackoff { 250 };
+    // Members come and go; clients of all that were ever seen are kept up to this number.
+    constexpr std::size_t kMostClients = 64;
+
+    std::uint16_t number(MessageType type)
+    {
+        return static_cast<std::uint16_t>(type);
+    }
+}
+
+transport::LinkOptions groupLinkOptions(const std::string& name, const std::string& key, transport::EventSink& sink)
+{
+    transport::LinkOptions options;
+    options.name = name;
+    options.clusterKey = key;
+    options.maximumBody = kMostFrameBytes;
+    options.keepAlive = kKeepAlive;
+    options.silenceLimit = kSilenceLimit;
+    options.handshakeLimit = kHandshakeLimit;
+    options.mostBackoff = kMostBackoff;
+    options.stamp = [&sink] { return sink.clock().stamp(); };
+    options.observe = [&sink](std::uint64_t stamp) { sink.clock().observe(stamp); };
+    options.log = [&sink](const LogEvent& event) { sink.log(event); };
+    return options;
+}
+
+GroupLinks::GroupLinks(const InstanceName& self, const transport::Endpoint& bind, const std::string& key, transport::EventSink& sink)
+    : m_self(self)
+    , m_sink(sink)
+    , m_options(groupLinkOptions(self, key, sink))
+{
+    transport::LinkOptions serverOptions = m_options;
+    serverOptions.silenceLimit = kServerSilenceLimit;
+    m_server = std::make_unique<transport::FrameServer>(m_loop, serverOptions, bind.address, bind.port,
+        [this](const IncomingFrame& frame, const FrameResponder& respond) { receive(frame, respond); });
+}
+
+GroupLinks::~GroupLinks()
+{
+    stop();
+}
+
+void GroupLinks::start(Handlers handlers)
+{
+    m_loop.runAndWait([&] { m_handlers = std::move(handlers); });
+}
+
+void GroupLinks::stop()
+{
+    std::map<InstanceName, std::unique_ptr<transport::FrameClient>> clients;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopped = true;
+        clients.swap(m_clients);
+    }
+    m_server.reset();
+}
+
+transport::FrameClient* GroupLinks::clientOf(const InstanceName& name)
+{
+    const auto it = m_clients.find(name);
+    if (it != m_clients.end())
+        return it->second.get();
+    const std::optional<transport::Endpoint> endpoint = transport::parseEndpoint(name);
+    if (!endpoint || m_stopped || m_clients.size() >= kMostClients)
+        return nullptr;
+    return m_clients.emplace(name, std::make_unique<transport::FrameClient>(m_loop, m_options, endpoint->address, endpoint->port)).first->second.get();
+}
+
+void GroupLinks::sendToPeer(const InstanceName& to, const control::PeerMessage& message)
+{
+    const std::lock_guard lock(m_mutex);
+    if (transport::FrameClient* client = clientOf(to))
+        client->send(number(MessageType::Replica), encode(transport::ReplicaMessage { m_self, control::encodePeerMessage(message) }));
+}
+
+void GroupLinks::sendJoin(const InstanceName& to)
+{
+    const std::lock_guard lock(m_mutex);
+    transport::FrameClient* client = to == m_self ? nullptr : clientOf(to);
+    if (client)
+        client->send(number(MessageType::JoinGroup), control::encodeJoin({ m_self }));
+}
+
+void GroupLinks::receive(const IncomingFrame& frame, const FrameResponder& respond)
+{
+    if (frame.type == number(MessageType::Watch) && respond) {
+        std::optional<control::WatchRequest> request = control::decodeWatch(frame.body);
+        if (!request)
+            refuse(frame, "the watch request is malformed");
+        else if (m_handlers.watch)
+            m_handlers.watch(std::move(*request), respond);
+        return;
+    }
+    if (frame.type == number(MessageType::JoinGroup)) {
+        const std::optional<control::JoinRequest> join = control::decodeJoin(frame.body);
+        if (!join || join->name != frame.from || !transport::parseEndpoint(join->name))
+            refuse(frame, "the join request is malformed");
+        else if (m_handlers.join)
+            m_handlers.join(join->name);
+        return;
+    }
+    const std::optional<transport::ReplicaMessage> replica = transport::decode<transport::ReplicaMessage>(frame.body);
+    std::optional<control::PeerMessage> message = replica ? control::decodePeerMessage(replica->message) : std::nullopt;
+    if (frame.type != number(MessageType::Replica) || !message || replica->from != frame.from)
+        refuse(frame, "not a message of a replica of this group");
+    else if (m_handlers.peer)
+        m_handlers.peer(frame.from, std::move(*message));
+}
+
+void GroupLinks::refuse(const IncomingFrame& frame, std::string_view reason)
+{
+    m_sink.log(events::kMessageRefused, { { "from", frame.from }, { "type", std::to_string(frame.type) }, { "reason", std::string { reason } } });
+}
+
+} // namespace curranttrail
--- /dev/null
+++ b/main/group_links.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "control/feed.h"
+#include "control/messages.h"
+#include "main/coordinator_settings.h"
+#include "transport/event_sink.h"
+#include "transport/frame_link.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace curranttrail {
+
+// Options of frame links that all processes around one control group share.
+transport::LinkOptions groupLinkOptions(const std::string& name, const std::string& key, transport::EventSink& sink);
+
+// The frame links of a control instance whose members change: members are named by their addresses, and a client is made for
+// each when something is first sent to it.
+class GroupLinks {
+public:
+    struct Handlers {
+        std::function<void(const InstanceName& from, control::PeerMessage message)> peer;
+        std::function<void(const InstanceName& name)> join;
+        std::function<void(control::WatchRequest request, transport::FrameResponder respond)> watch;
+    };
+
+    // Listens at once. Throws std::runtime_error if the address cannot be used.
+    GroupLinks(const InstanceName& self, const transport::Endpoint& bind, const std::string& key, transport::EventSink& sink);
+    ~GroupLinks();
+    GroupLinks(const GroupLinks&) = delete;
+    GroupLinks& operator=(const GroupLinks&) = delete;
+
+    // Messages are handled from now on, on the loop's thread.
+    void start(Handlers handlers);
+    void stop();
+
+    void sendToPeer(const InstanceName& to, const control::PeerMessage& message);
+    void sendJoin(const InstanceName& to);
+    transport::FrameLoop& loop() { return m_loop; }
+
+private:
+    transport::FrameClient* clientOf(const InstanceName& name);
+    void receive(const transport::IncomingFrame& frame, const transport::FrameResponder& respond);
+    void refuse(const transport::IncomingFrame& frame, std::string_view reason);
+
+    const InstanceName m_self;
+    transport::EventSink& m_sink;
+    const transport::LinkOptions m_options;
+    transport::FrameLoop m_loop;
+    std::mutex m_mutex;
+    bool m_stopped = false;
+    Handlers m_handlers;
+    std::map<InstanceName, std::unique_ptr<transport::FrameClient>> m_clients;
+    std::unique_ptr<transport::FrameServer> m_server;
+};
+
+} // namespace curranttrail
--- /dev/null
+++ b/main/server_list_poller.cpp
@@ -0,0 +1,123 @@
+#include "main/server_list_poller.h"
+
+#include "main/feed_events.h"
+#include "platform/server_list_json.h"
+
+#include <fmt/format.h>
+
+#include <mutex>
+#include <utility>
+
+namespace curranttrail {
+
+namespace {
+    constexpr Micros kPageLimit { 800'000 };
+    // The part of the shared call rate that one pass may use, so that instances that take over from each other stay within it.
+    constexpr double kUsedShareOfRate = 0.6;
+    constexpr std::size_t kMostPages = 1'000;
+}
+
+struct ServerListPoller::State : std::enable_shared_from_this<State> {
+    State(transport::IoThreads& io, transport::Endpoint endpoint, double callsPerSecond, transport::EventSink& eventSink, Callback deliver)
+        : threads(io)
+        , address(std::move(endpoint))
+        , pagePause(static_cast<std::int64_t>(1e6 / (callsPerSecond * kUsedShareOfRate)))
+        , sink(eventSink)
+        , callback(std::move(deliver))
+        , client(io, { 4u << 20, 1, std::chrono::milliseconds { 4'000 } })
+    {
+    }
+
+    void fetch(const std::string& token)
+    {
+        transport::HttpRequest request;
+        request.path = platform::serverPagePath(token);
+        client.request(address, request, kPageLimit, [weak = weak_from_this()](transport::HttpResult result) {
+            if (const std::shared_ptr<State> self = weak.lock())
+                self->take(result);
+        });
+    }
+
+    void take(const transport::HttpResult& result)
+    {
+        if (!result.answered || result.response.status != 200) {
+            fail(result.answered ? fmt::format("status {}", result.response.status) : result.error);
+            return;
+        }
+        std::variant<platform::ServerPage, platform::DecodeError> decoded = platform::decodeServerPage(result.response.body);
+        if (const platform::DecodeError* error = std::get_if<platform::DecodeError>(&decoded)) {
+            fail(error->reason);
+            return;
+        }
+        platform::ServerPage& page = std::get<platform::ServerPage>(decoded);
+        unreadable += page.unreadable;
+        for (routing::ServerRecord& record : page.servers)
+            servers.push_back(std::move(record));
+        if (page.nextToken && ++pages < kMostPages) {
+            threads.after(pagePause, [weak = weak_from_this(), token = *page.nextToken] {
+                if (const std::shared_ptr<State> self = weak.lock())
+                    self->fetch(token);
+            });
+            return;
+        }
+        finish();
+    }
+
+    void finish()
+    {
+        if (std::exchange(failing, false))
+            sink.log(events::kServerListRegained, { { "servers", fmt::to_string(servers.size()) } });
+        if (unreadable != std::exchange(lastUnreadable, unreadable))
+            sink.log(events::kServerListUnreadable, { { "entries", fmt::to_string(unreadable) } });
+        callback(std::move(servers));
+        end();
+    }
+
+    void fail(const std::string& reason)
+    {
+        if (!std::exchange(failing, true))
+            sink.log(events::kServerListLost, { { "reason", reason } });
+        end();
+    }
+
+    void end()
+    {
+        const std::lock_guard lock(mutex);
+        running = false;
+    }
+
+    transport::IoThreads& threads;
+    const transport::Endpoint address;
+    const Micros pagePause;
+    transport::EventSink& sink;
+    Callback callback;
+    transport::HttpClient client;
+    std::mutex mutex;
+    bool running = false;
+    // Of the pass that runs.
+    routing::ServerList servers;
+    std::size_t pages = 0;
+    std::size_t unreadable = 0;
+    std::size_t lastUnreadable = 0;
+    bool failing = false;
+};
+
+ServerListPoller::ServerListPoller(transport::IoThreads& threads, transport::Endpoint address, double callsPerSecond, transport::EventSink& sink, Callback callback)
+    : m_state(std::make_shared<State>(threads, std::move(address), callsPerSecond, sink, std::move(callback)))
+{
+}
+
+void ServerListPoller::poll()
+{
+    {
+        const std::lock_guard lock(m_state->mutex);
+        if (std::exchange(m_state->running, true))
+            return;
+    }
+    m_state->servers.clear();
+    m_state->pages = 0;
+    m_state->unreadable = 0;
+    m_state->fetch({});
+}
+
+} // namespace curranttrail
--- /dev/null
+++ b/routing/reply_class.cpp
@@ -0,0 +1,24 @@
+#include "routing/reply_class.h"
+
+namespace curranttrail::routing {
+
+namespace {
+    constexpr unsigned kMisdirected = 421;
+}
+
+ReplyKind classifyReply(const ReplyHead& head, std::string_view requestId)
+{
+    // A late reply to an earlier request names that request, and says nothing about this one.
+    if (head.requestId && *head.requestId != requestId)
+        return ReplyKind::Unusable;
+    if (head.status == kMisdirected)
+        return ReplyKind::WrongInstance;
+    if (head.notExecuted)
+        return ReplyKind::NotExecuted;
+    const bool success = head.status >= 200 && head.status < 300;
+    if (!success)
+        return head.stamp ? ReplyKind::Failure : ReplyKind::Unusable;
+    return head.stamp && !head.encoded ? ReplyKind::Success : ReplyKind::Unusable;
+}
+
+} // namespace curranttrail::routing
--- /dev/null
+++ b/routing/route_document.cpp
@@ -0,0 +1,106 @@
+#include "routing/route_document.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace curranttrail::routing {
+
+namespace {
+
+    std::string unknown(const Route& route, const CollectionName& name)
+    {
+        return fmt::format("route \"{}\" names the unknown collection \"{}\"", route.name, name);
+    }
+
+    // Checks the target of one route against the collections of the document.
+    class TargetCheck {
+    public:
+        TargetCheck(const RouteDocument& document, const Route& route)
+            : m_document(document)
+            , m_route(route)
+        {
+        }
+
+        std::string operator()(const SingleTarget& target) const
+        {
+            return m_document.collections.contains(target.collection) ? std::string {} : unknown(m_route, target.collection);
+        }
+
+        std::string operator()(const SplitTarget& target) const
+        {
+            double sum = 0;
+            for (const WeightedCollection& part : target.parts) {
+                if (!m_document.collections.contains(part.collection))
+                    return unknown(m_route, part.collection);
+                if (!std::isfinite(part.weight) || part.weight < 0)
+                    return fmt::format("route \"{}\" has a negative weight", m_route.name);
+                sum += part.weight;
+            }
+            return sum > 0 ? std::string {} : fmt::format("the weights of route \"{}\" add up to 0", m_route.name);
+        }
+
+        std::string operator()(const ScatterTarget& target) const
+        {
+            if (target.shards.empty())
+                return fmt::format("route \"{}\" names no shard", m_route.name);
+            std::set<CollectionName> seen;
+            for (const CollectionName& shard : target.shards) {
+                if (!m_document.collections.contains(shard))
+                    return unknown(m_route, shard);
+                if (!seen.insert(shard).second)
+                    return fmt::format("route \"{}\" names the shard \"{}\" twice", m_route.name, shard);
+            }
+            if (!(target.minimumCoverage >= 0 && target.minimumCoverage <= 1))
+                return fmt::format("the least coverage of route \"{}\" is not from 0 to 1", m_route.name);
+            return {};
+        }
+
+    private:
+        const RouteDocument& m_document;
+        const Route& m_route;
+    };
+
+} // namespace
+
+std::string invalidReason(const RouteDocument& document)
+{
+    if (document.version == 0)
+        return "the version is 0";
+    std::set<std::pair<std::string, std::string>> places;
+    for (const Route& route : document.routes) {
+        if (!places.emplace(route.host, route.prefix).second)
+            return fmt::format("two routes share the host \"{}\" and the prefix \"{}\"", route.host, route.prefix);
+        if (route.timeout <= Micros { 0 })
+            return fmt::format("the time limit of route \"{}\" is 0", route.name);
+        if (std::string reason = std::visit(TargetCheck(document, route), route.target); !reason.empty())
+            return reason;
+    }
+    return {};
+}
+
+RouteTable::RouteTable(std::shared_ptr<const RouteDocument> document)
+    : m_document(std::move(document))
+{
+    for (const Route& route : m_document->routes)
+        m_hosts[route.host].emplace(route.prefix, &route);
+}
+
+const Route* RouteTable::find(std::string_view host, std::string_view path) const
+{
+    const auto routes = m_hosts.find(host.substr(0, host.find(':')));
+    if (routes == m_hosts.end())
+        return nullptr;
+    // Prefixes end with a slash, so only the places of slashes need to be tried, the longest first.
+    for (std::size_t end = path.rfind('/'); end != std::string_view::npos; end = end == 0 ? std::string_view::npos : path.rfind('/', end - 1)) {
+        const auto it = routes->second.find(path.substr(0, end + 1));
+        if (it != routes->second.end())
+            return it->second;
+    }
+    return nullptr;
+}
+
+} // namespace curranttrail::routing
--- /dev/null
+++ b/routing/router.h
@@ -0,0 +1,214 @@
+#pragma once
+
+#include "core/random.h"
+#include "core/verdict.h"
+#include "policy/latency_quantiles.h"
+#include "policy/shared_budget.h"
+#include "routing/messages.h"
+#include "routing/record_merge.h"
+#include "routing/route_document.h"
+#include "routing/server_table.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace curranttrail::routing {
+
+struct RouterOptions {
+    InstanceName name;
+    DataCentreName dataCentre;
+    std::uint64_t seed = 0;
+    // Repeats that all instances together may add per first request to a collection.
+    double repeatRatio = 0.2;
+    // Repeats in each window beyond the ratio, for all instances together.
+    double repeatAllowance = 50;
+};
+
+// Totals since the start, for the metrics.
+struct RouterCounters {
+    std::uint64_t arrived = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t late = 0;
+    std::uint64_t partial = 0;
+    std::uint64_t abandoned = 0;
+    std::array<std::uint64_t, kRefusalReasonNames.size()> refused {};
+    std::uint64_t attempts = 0;
+    std::uint64_t repeats = 0;
+    std::uint64_t repeatsDenied = 0;
+    std::uint64_t attemptsFailed = 0;
+    std::uint64_t connectionsOpened = 0;
+};
+
+// Routes raw requests of callers to backend servers: one server, or one server of each shard with a merge of the parts.
+// A request keeps the document version that it arrived under until its end.
+class Router {
+public:
+    explicit Router(RouterOptions options);
+
+    std::vector<Effect> handle(const Event& event, TimePoint now);
+    TimePoint nextWakeup() const;
+
+    bool hasDocument() const { return m_table != nullptr; }
+    std::uint64_t documentVersion() const { return m_table ? m_table->document().version : 0; }
+    std::size_t requestsInFlight() const { return m_requests.size(); }
+    const RouterCounters& counters() const { return m_counters; }
+    const ServerTable& servers() const { return m_servers; }
+
+private:
+    enum class PartState {
+        Open,
+        Done,
+        Failed,
+    };
+
+    // One collection's share of a request.
+    struct Part {
+        CollectionName collection;
+        PartState state = PartState::Open;
+        std::vector<const Server*> tried;
+        // Attempts that wait or are unanswered.
+        std::uint32_t inFlight = 0;
+        // Attempts that reached a server.
+        std::uint32_t sent = 0;
+        // Attempts of which it is not known that they did not run.
+        std::uint32_t mayHaveRun = 0;
+        TimePoint startedAt;
+        std::string stamp;
+    };
+
+    // Kinds of work that take about the same time: requests with one aim and one kind of target.
+    struct WorkKind {
+        policy::LatencyQuantiles durations;
+        Micros hedgeDelay { 0 };
+        std::uint32_t samplesToRefresh = 0;
+    };
+
+    struct Request {
+        std::string id;
+        // Keeps the document of the route alive.
+        std::shared_ptr<const RouteTable> table;
+        const Route* route = nullptr;
+        WorkKind* work = nullptr;
+        TimePoint arrivedAt;
+        // From here on an answer that covers enough is not held back for more parts.
+        TimePoint softDeadline;
+        TimePoint hardDeadline;
+        std::vector<Part> parts;
+        std::size_t done = 0;
+        std::size_t failed = 0;
+        std::vector<AttemptId> attempts;
+        std::vector<AttemptProgress> progress;
+        std::optional<RecordMerge> merge;
+        // The newest failure that a server answered with, passed on if no attempt succeeds.
+        std::optional<ServerReply> failure;
+        std::uint32_t repeats = 0;
+        bool denialLogged = false;
+    };
+
+    struct Attempt {
+        RequestKey request;
+        std::size_t part = 0;
+        Server* server = nullptr;
+        std::optional<ConnectionId> connection;
+        TimePoint sentAt;
+        bool givenUp = false;
+        std::uint32_t priority = 0;
+    };
+
+    struct Connection {
+        Server* server = nullptr;
+        bool open = false;
+        std::optional<AttemptId> attempt;
+        TimePoint since;
+    };
+
+    struct Check {
+        TimePoint at;
+        RequestKey request;
+        bool operator>(const Check& other) const { return at > other.at; }
+    };
+
+    struct GivenUp {
+        TimePoint at;
+        AttemptId attempt;
+    };
+
+    // router.cpp: events and timers
+    void on(const RequestArrived& event);
+    void on(const RequestAbandoned& event);
+    void on(const ConnectionOpened& event);
+    void on(const ConnectionLost& event);
+    void on(const AttemptReplied& event);
+    void on(const AttemptBroken& event);
+    void on(const DocumentInForce& event);
+    void on(const ServersListed& event);
+    void on(const InstancesKnown& event);
+    void on(const Tick&) { }
+    void runTimers();
+    void sweep();
+    void warmConnections();
+    void updateShares();
+    void log(const EventDescription& description, std::vector<EventField> fields);
+    WorkKind& workOf(const Route& route);
+    std::vector<CollectionName> collectionsOf(const Route& route);
+    const CollectionName& partOfSplit(const Route& route, const SplitTarget& split);
+
+    // router_attempts.cpp: attempts and connections
+    bool startAttempt(RequestKey key, Request& request, std::size_t index);
+    void send(AttemptId id, Attempt& attempt, ConnectionId connection);
+    void dispatchWaiting(Server& server);
+    void openConnection(Server& server);
+    void dropConnection(ConnectionId id);
+    void closeConnection(ConnectionId id);
+    void failWaiting(Server& server);
+    void giveUp(AttemptId id, bool closeAtOnce);
+    void noteDuration(WorkKind& work, Micros duration);
+    void noteServerFailure(Server& server, std::string_view reason);
+    void takeSuccess(RequestKey key, Request& request, Part& part, ServerReply reply);
+    void attemptFailed(RequestKey key, std::size_t index, const Server* server, AttemptProgress progress, std::string_view reason);
+    bool repeatPart(RequestKey key, Request& request, std::size_t index, std::string_view reason);
+    policy::SharedBudget& budgetOf(const CollectionName& collection);
+
+    // router_requests.cpp: the course and the end of a request
+    void check(RequestKey key);
+    void hedge(RequestKey key, Request& request);
+    TimePoint nextCheck(const Request& request) const;
+    bool coversEnough(const Request& request, std::size_t parts) const;
+    bool isScatter(const Request& request) const { return request.merge.has_value(); }
+    void answerMerged(RequestKey key, Request& request);
+    void answerReply(RequestKey key, Request& request, ServerReply reply);
+    void refuse(RequestKey key, RefusalReason reason);
+    void refuseUnrouted(const RequestArrived& event, RefusalReason reason, std::optional<Micros> retryAfter);
+    void end(RequestKey key, bool closeAtOnce);
+    Verdict verdictOf(const Request& request) const;
+    Micros pauseBeforeReturn();
+
+    const RouterOptions m_options;
+    Random m_random;
+    TimePoint m_now;
+    std::vector<Effect> m_effects;
+    std::shared_ptr<const RouteTable> m_table;
+    ServerTable m_servers;
+    std::unordered_map<RequestKey, Request> m_requests;
+    std::unordered_map<AttemptId, Attempt> m_attempts;
+    std::unordered_map<ConnectionId, Connection> m_connections;
+    std::map<CollectionName, policy::SharedBudget> m_budgets;
+    std::map<std::pair<std::int64_t, std::size_t>, WorkKind> m_works;
+    // Credit of each part of a split, by route; the part with the most is next.
+    std::map<std::string, std::vector<double>> m_splitCredit;
+    std::priority_queue<Check, std::vector<Check>, std::greater<>> m_checks;
+    std::deque<GivenUp> m_givenUp;
+    TimePoint m_nextSweep;
+    std::uint64_t m_lastAttempt = 0;
+    std::uint64_t m_lastConnection = 0;
+    RouterCounters m_counters;
+};
+
+} // namespace curranttrail::routing
--- /dev/null
+++ b/routing/router_attempts.cpp
@@ -0,0 +1,317 @@
+#include "routing/router.h"
+
+#include "routing/events.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace curranttrail::routing {
+
+namespace {
+    // Before durations are known, work is assumed to take this part of the aim.
+    constexpr int kAssumedWorkDivisor = 8;
+    // Attempts that may wait for a connection to one server, for each connection that it may have.
+    constexpr std::size_t kWaitingPerConnection = 4;
+    // Quantiles are computed anew after this many replies.
+    constexpr std::uint32_t kSamplesPerRefresh = 64;
+    constexpr double kLeastSamples = 50;
+    // An attempt is late, and due for a hedge, beyond this quantile of the observed durations.
+    constexpr double kHedgeQuantile = 0.95;
+    // An attempt with less time than this left cannot succeed at another server.
+    constexpr Micros kLeastRemaining { 8'000 };
+} // namespace
+
+policy::SharedBudget& Router::budgetOf(const CollectionName& collection)
+{
+    const auto [it, created] = m_budgets.try_emplace(collection);
+    if (created)
+        it->second.configure(m_options.repeatRatio, m_options.repeatAllowance, m_servers.instanceCount());
+    return it->second;
+}
+
+bool Router::startAttempt(RequestKey key, Request& request, std::size_t index)
+{
+    Part& part = request.parts[index];
+    WorkEstimate estimate;
+    estimate.typical = request.work->durations.weight() >= kLeastSamples ? request.work->durations.median() : request.route->aim / kAssumedWorkDivisor;
+    estimate.pauseBound = request.work->hedgeDelay.count() > 0 ? request.work->hedgeDelay : request.route->aim / 3;
+    Server* server = m_servers.choose(part.collection, part.tried, estimate, m_random, m_now);
+    if (!server || server->waiting.size() >= kWaitingPerConnection * std::max(1U, server->allowance))
+        return false;
+    const AttemptId id { ++m_lastAttempt };
+    Attempt& attempt = m_attempts[id];
+    attempt.request = key;
+    attempt.part = index;
+    attempt.server = server;
+    attempt.priority = request.route->priority;
+    part.tried.push_back(server);
+    ++part.inFlight;
+    request.attempts.push_back(id);
+    server->waiting.push_back(id);
+    dispatchWaiting(*server);
+    return true;
+}
+
+// Gives idle connections to the waiting attempts, the most urgent first, and opens more if attempts still wait.
+void Router::dispatchWaiting(Server& server)
+{
+    while (!server.waiting.empty() && !server.idle.empty()) {
+        const auto next = std::min_element(server.waiting.begin(), server.waiting.end(),
+            [this](AttemptId a, AttemptId b) { return m_attempts.at(a).priority < m_attempts.at(b).priority; });
+        const AttemptId id = *next;
+        server.waiting.erase(next);
+        const ConnectionId connection = server.idle.back();
+        server.idle.pop_back();
+        send(id, m_attempts.at(id), connection);
+    }
+    if (server.waiting.size() > server.opening && server.canOpen(m_now))
+        openConnection(server);
+}
+
+void Router::send(AttemptId id, Attempt& attempt, ConnectionId connection)
+{
+    Request& request = m_requests.at(attempt.request);
+    Part& part = request.parts[attempt.part];
+    attempt.connection = connection;
+    attempt.sentAt = m_now;
+    m_connections.at(connection).attempt = id;
+    attempt.server->unanswered.emplace(id, m_now);
+    ++m_counters.attempts;
+    if (++part.sent == 1)
+        budgetOf(part.collection).onFirst();
+    ++part.mayHaveRun;
+    m_effects.emplace_back(SendAttempt { id, connection, attempt.request, std::max(Micros { 1'000 }, std::chrono::duration_cast<Micros>(request.hardDeadline - m_now)), attempt.server->record.instance });
+}
+
+void Router::openConnection(Server& server)
+{
+    const ConnectionId id { ++m_lastConnection };
+    m_connections[id] = { &server, false, std::nullopt, m_now };
+    ++server.connections;
+    ++server.opening;
+    ++m_counters.connectionsOpened;
+    m_effects.emplace_back(OpenConnection { id, server.record.address });
+}
+
+// Forgets a connection that is gone.
+void Router::dropConnection(ConnectionId id)
+{
+    const auto it = m_connections.find(id);
+    if (it == m_connections.end())
+        return;
+    Server& server = *it->second.server;
+    std::erase(server.idle, id);
+    if (!it->second.open)
+        --server.opening;
+    --server.connections;
+    if (it->second.attempt) {
+        server.unanswered.erase(*it->second.attempt);
+        m_attempts.erase(*it->second.attempt);
+    }
+    m_connections.erase(it);
+}
+
+void Router::closeConnection(ConnectionId id)
+{
+    m_effects.emplace_back(CloseConnection { id });
+    dropConnection(id);
+}
+
+// Nothing that waits for a connection to this server was sent, so it may go to another server at no cost.
+void Router::failWaiting(Server& server)
+{
+    for (const AttemptId id : std::exchange(server.waiting, {})) {
+        const auto it = m_attempts.find(id);
+        if (it == m_attempts.end())
+            continue;
+        const Attempt attempt = it->second;
+        m_attempts.erase(it);
+        attemptFailed(attempt.request, attempt.part, &server, AttemptProgress::NotSent, "no connection to the server");
+    }
+}
+
+void Router::noteServerFailure(Server& server, std::string_view reason)
+{
+    const bool suspended = server.health.isSuspended(m_now);
+    server.health.onFailure(m_random, m_now);
+    if (!suspended && server.health.isSuspended(m_now))
+        log(events::kServerSuspended, { { "server", server.record.instance }, { "collection", server.record.collection }, { "reason", std::string { reason } } });
+}
+
+// Ends the interest in an attempt. Its connection carries nothing else until the reply has come or it is closed.
+void Router::giveUp(AttemptId id, bool closeAtOnce)
+{
+    const auto it = m_attempts.find(id);
+    if (it == m_attempts.end())
+        return;
+    Attempt& attempt = it->second;
+    if (!attempt.connection) {
+        std::erase(attempt.server->waiting, id);
+        m_attempts.erase(it);
+        return;
+    }
+    attempt.givenUp = true;
+    if (closeAtOnce)
+        closeConnection(*attempt.connection);
+    else
+        m_givenUp.push_back({ m_now, id });
+}
+
+void Router::noteDuration(WorkKind& work, Micros duration)
+{
+    work.durations.add(duration);
+    if (work.samplesToRefresh > 0) {
+        --work.samplesToRefresh;
+        return;
+    }
+    if (work.durations.weight() < kLeastSamples)
+        return;
+    work.hedgeDelay = work.durations.quantile(kHedgeQuantile);
+    work.samplesToRefresh = kSamplesPerRefresh;
+}
+
+void Router::on(const AttemptReplied& event)
+{
+    const auto it = m_attempts.find(event.attempt);
+    if (it == m_attempts.end())
+        return;
+    const Attempt attempt = it->second;
+    Server& server = *attempt.server;
+    const ConnectionId connection = *attempt.connection;
+    server.unanswered.erase(event.attempt);
+    m_connections.at(connection).attempt.reset();
+    m_attempts.erase(it);
+    if (event.reply.closing)
+        dropConnection(connection);
+    else if (!server.takesWork())
+        closeConnection(connection);
+    else
+        server.idle.push_back(connection);
+    server.lastReply = m_now;
+    if (event.reply.load) {
+        server.load = *event.reply.load;
+        server.loadAt = m_now;
+        server.ownAtLoad = static_cast<std::uint32_t>(server.unanswered.size());
+    }
+    const ReplyKind kind = event.reply.kind;
+    if (kind == ReplyKind::WrongInstance && !server.gone) {
+        server.gone = true;
+        log(events::kServerReplaced, { { "server", server.record.instance }, { "address", server.record.address } });
+        failWaiting(server);
+        if (!event.reply.closing)
+            closeConnection(connection);
+    } else if (kind == ReplyKind::Success) {
+        server.health.onReply(m_now);
+    } else if (kind != ReplyKind::NotExecuted) {
+        noteServerFailure(server, nameOf(kReplyKindNames, kind));
+    }
+
+    const auto found = m_requests.find(attempt.request);
+    if (found != m_requests.end() && kind == ReplyKind::Success)
+        noteDuration(*found->second.work, std::chrono::duration_cast<Micros>(m_now - attempt.sentAt));
+    dispatchWaiting(server);
+    if (attempt.givenUp || found == m_requests.end())
+        return;
+    Request& request = found->second;
+    Part& part = request.parts[attempt.part];
+    if (kind == ReplyKind::Success) {
+        request.progress.push_back(AttemptProgress::Replied);
+        --part.inFlight;
+        if (part.state == PartState::Open)
+            takeSuccess(attempt.request, request, part, event.reply);
+        return;
+    }
+    const bool notRun = kind == ReplyKind::NotExecuted || kind == ReplyKind::WrongInstance;
+    if (kind == ReplyKind::Failure)
+        request.failure = event.reply;
+    attemptFailed(attempt.request, attempt.part, &server, notRun ? AttemptProgress::RefusedBeforeWork : AttemptProgress::Replied, nameOf(kReplyKindNames, kind));
+}
+
+void Router::on(const AttemptBroken& event)
+{
+    const auto it = m_attempts.find(event.attempt);
+    if (it == m_attempts.end())
+        return;
+    const Attempt attempt = it->second;
+    Server& server = *attempt.server;
+    dropConnection(*attempt.connection);
+    noteServerFailure(server, event.reason);
+    dispatchWaiting(server);
+    if (!attempt.givenUp)
+        attemptFailed(attempt.request, attempt.part, &server, AttemptProgress::Unknown, event.reason);
+}
+
+void Router::takeSuccess(RequestKey key, Request& request, Part& part, ServerReply reply)
+{
+    part.state = PartState::Done;
+    ++request.done;
+    if (!isScatter(request)) {
+        answerReply(key, request, std::move(reply));
+        return;
+    }
+    part.stamp = reply.stamp;
+    request.merge->add(reply.body);
+    // Twins of a part that is complete are given up here, so that their connections are freed in time.
+    for (const AttemptId id : request.attempts) {
+        const auto twin = m_attempts.find(id);
+        if (twin != m_attempts.end() && !twin->second.givenUp && &request.parts[twin->second.part] == &part) {
+            --part.inFlight;
+            request.progress.push_back(twin->second.connection ? AttemptProgress::BytesSent : AttemptProgress::NotSent);
+            giveUp(id, false);
+        }
+    }
+    check(key);
+}
+
+void Router::attemptFailed(RequestKey key, std::size_t index, const Server* server, AttemptProgress progress, std::string_view reason)
+{
+    const auto it = m_requests.find(key);
+    if (it == m_requests.end())
+        return;
+    Request& request = it->second;
+    Part& part = request.parts[index];
+    --part.inFlight;
+    if (progress == AttemptProgress::RefusedBeforeWork)
+        --part.mayHaveRun;
+    request.progress.push_back(progress);
+    ++m_counters.attemptsFailed;
+    log(events::kAttemptFailed, { { "request", request.id }, { "server", server->record.instance }, { "collection", part.collection }, { "progress", std::string { nameOf(kAttemptProgressNames, progress) } }, { "reason", std::string { reason } }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
+    if (part.state != PartState::Open || part.inFlight > 0)
+        return;
+    if (repeatPart(key, request, index, reason))
+        return;
+    part.state = PartState::Failed;
+    ++request.failed;
+    check(key);
+}
+
+// Sends a part to another server, as a hedge or after a failure, if the route, the request and the shared budget allow it.
+bool Router::repeatPart(RequestKey key, Request& request, std::size_t index, std::string_view reason)
+{
+    Part& part = request.parts[index];
+    const Route& route = *request.route;
+    if (part.mayHaveRun >= route.maximumAttempts || (part.mayHaveRun > 0 && !route.repeatable))
+        return false;
+    if (m_now + kLeastRemaining >= request.hardDeadline)
+        return false;
+    policy::SharedBudget& budget = budgetOf(part.collection);
+    const bool costs = part.sent > 0;
+    if (costs && !budget.canTake()) {
+        ++m_counters.repeatsDenied;
+        if (!std::exchange(request.denialLogged, true))
+            log(events::kRepeatDenied, { { "request", request.id }, { "collection", part.collection }, { "reason", std::string { reason } } });
+        return false;
+    }
+    if (!startAttempt(key, request, index))
+        return false;
+    if (costs)
+        budget.tryTake();
+    ++request.repeats;
+    ++m_counters.repeats;
+    log(events::kAttemptRepeated, { { "request", request.id }, { "server", part.tried.back()->record.instance }, { "collection", part.collection }, { "reason", std::string { reason } }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
+    return true;
+}
+
+} // namespace curranttrail::routing
--- /dev/null
+++ b/routing/router_requests.cpp
@@ -0,0 +1,181 @@
+#include "routing/router.h"
+
+#include "routing/events.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace curranttrail::routing {
+
+namespace {
+    // Bounds of the hedging delay as parts of the aim: below the first a hedge meets work that is still usual, beyond the second
+    // it comes too late to meet the aim.
+    struct HedgeBounds {
+        double least = 0;
+        double most = 0;
+        double assumed = 0;
+    };
+    constexpr HedgeBounds kScatterHedge { 0.08, 0.4, 0.3 };
+    constexpr HedgeBounds kSingleHedge { 0.25, 0.55, 0.5 };
+    // Refused callers return spread over this span, so that they do not come back at one moment.
+    constexpr Micros kLeastReturn { 50'000 };
+    constexpr Micros kMostReturn { 250'000 };
+
+    Micros shareOf(Micros span, double share)
+    {
+        return Micros { static_cast<Micros::rep>(static_cast<double>(span.count()) * share) };
+    }
+
+    Micros hedgeDelay(const Route& route, Micros observed)
+    {
+        const HedgeBounds& bounds = std::holds_alternative<ScatterTarget>(route.target) ? kScatterHedge : kSingleHedge;
+        if (observed.count() == 0)
+            return shareOf(route.aim, bounds.assumed);
+        return std::clamp(observed, shareOf(route.aim, bounds.least), shareOf(route.aim, bounds.most));
+    }
+} // namespace
+
+bool Router::coversEnough(const Request& request, std::size_t parts) const
+{
+    const ScatterTarget* scatter = std::get_if<ScatterTarget>(&request.route->target);
+    if (!scatter)
+        return parts == request.parts.size();
+    return parts > 0 && static_cast<double>(parts) >= scatter->minimumCoverage * static_cast<double>(request.parts.size()) - 1e-9;
+}
+
+// Decides whether a request ends now, hedges what is late, and sets the next time to look.
+void Router::check(RequestKey key)
+{
+    const auto it = m_requests.find(key);
+    if (it == m_requests.end())
+        return;
+    Request& request = it->second;
+    const std::size_t open = request.parts.size() - request.done - request.failed;
+    const bool enough = isScatter(request) && coversEnough(request, request.done);
+    if (enough && (open == 0 || m_now >= request.softDeadline)) {
+        answerMerged(key, request);
+        return;
+    }
+    if (!coversEnough(request, request.done + open)) {
+        if (request.failure && !isScatter(request))
+            answerReply(key, request, std::move(*request.failure));
+        else
+            refuse(key, RefusalReason::AttemptsFailed);
+        return;
+    }
+    if (m_now >= request.hardDeadline) {
+        refuse(key, RefusalReason::TimedOut);
+        return;
+    }
+    hedge(key, request);
+    m_checks.push({ nextCheck(request), key });
+}
+
+void Router::hedge(RequestKey key, Request& request)
+{
+    if (!request.route->repeatable)
+        return;
+    const Micros delay = hedgeDelay(*request.route, request.work->hedgeDelay);
+    for (std::size_t n = 0; n < request.parts.size(); ++n) {
+        const Part& part = request.parts[n];
+        if (part.state == PartState::Open && part.inFlight == 1 && part.tried.size() == 1 && m_now - part.startedAt >= delay)
+            repeatPart(key, request, n, "late");
+    }
+}
+
+TimePoint Router::nextCheck(const Request& request) const
+{
+    TimePoint next = request.hardDeadline;
+    if (isScatter(request) && request.softDeadline > m_now)
+        next = std::min(next, request.softDeadline);
+    const TimePoint hedgeAt = request.arrivedAt + hedgeDelay(*request.route, request.work->hedgeDelay);
+    if (request.route->repeatable && hedgeAt > m_now)
+        next = std::min(next, hedgeAt);
+    return next;
+}
+
+void Router::answerMerged(RequestKey key, Request& request)
+{
+    AnswerMerged answer;
+    answer.request = key;
+    answer.missing = request.parts.size() - request.done;
+    for (Part& part : request.parts) {
+        if (part.state == PartState::Done)
+            answer.stamps.push_back(std::move(part.stamp));
+    }
+    answer.body = request.merge->take();
+    const Micros elapsed = std::chrono::duration_cast<Micros>(m_now - request.arrivedAt);
+    ++m_counters.answered;
+    m_counters.partial += answer.missing > 0 ? 1 : 0;
+    m_counters.late += elapsed > request.route->aim ? 1 : 0;
+    log(events::kRequestAnswered, { { "request", request.id }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "parts", fmt::to_string(request.done) }, { "missing", fmt::to_string(answer.missing) }, { "repeats", fmt::to_string(request.repeats) }, { "elapsed_us", fmt::to_string(elapsed.count()) } });
+    m_effects.emplace_back(std::move(answer));
+    end(key, false);
+}
+
+void Router::answerReply(RequestKey key, Request& request, ServerReply reply)
+{
+    const Micros elapsed = std::chrono::duration_cast<Micros>(m_now - request.arrivedAt);
+    ++m_counters.answered;
+    m_counters.late += elapsed > request.route->aim ? 1 : 0;
+    log(events::kRequestAnswered, { { "request", request.id }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "status", fmt::to_string(reply.status) }, { "repeats", fmt::to_string(request.repeats) }, { "elapsed_us", fmt::to_string(elapsed.count()) } });
+    m_effects.emplace_back(AnswerReply { key, std::move(reply) });
+    end(key, false);
+}
+
+Verdict Router::verdictOf(const Request& request) const
+{
+    std::vector<AttemptProgress> progress = request.progress;
+    for (const AttemptId id : request.attempts) {
+        const auto it = m_attempts.find(id);
+        if (it != m_attempts.end() && !it->second.givenUp)
+            progress.push_back(it->second.connection ? AttemptProgress::BytesSent : AttemptProgress::NotSent);
+    }
+    return curranttrail::verdictOf(progress);
+}
+
+Micros Router::pauseBeforeReturn()
+{
+    boost::random::uniform_int_distribution<Micros::rep> pause(kLeastReturn.count(), kMostReturn.count());
+    return Micros { pause(m_random) };
+}
+
+void Router::refuse(RequestKey key, RefusalReason reason)
+{
+    const Request& request = m_requests.at(key);
+    RefuseRequest refusal;
+    refusal.request = key;
+    refusal.reason = reason;
+    refusal.notRun = verdictOf(request) == Verdict::NotRun;
+    if (refusal.notRun)
+        refusal.retryAfter = pauseBeforeReturn();
+    ++m_counters.refused[static_cast<std::size_t>(reason)];
+    log(events::kRequestRefused, { { "request", request.id }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "reason", std::string { nameOf(kRefusalReasonNames, reason) } }, { "not_run", refusal.notRun ? "true" : "false" }, { "parts", fmt::to_string(request.done) }, { "failed", fmt::to_string(request.failed) }, { "repeats", fmt::to_string(request.repeats) }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
+    m_effects.emplace_back(refusal);
+    end(key, false);
+}
+
+void Router::refuseUnrouted(const RequestArrived& event, RefusalReason reason, std::optional<Micros> retryAfter)
+{
+    ++m_counters.refused[static_cast<std::size_t>(reason)];
+    log(events::kRequestRefused, { { "request", event.requestId }, { "host", event.host }, { "path", event.path }, { "version", fmt::to_string(documentVersion()) }, { "reason", std::string { nameOf(kRefusalReasonNames, reason) } }, { "not_run", "true" } });
+    m_effects.emplace_back(RefuseRequest { event.key, reason, true, retryAfter });
+}
+
+void Router::end(RequestKey key, bool closeAtOnce)
+{
+    const auto it = m_requests.find(key);
+    // The attempts still need the request while they are given up.
+    const std::vector<AttemptId> attempts = std::move(it->second.attempts);
+    m_requests.erase(it);
+    for (const AttemptId id : attempts) {
+        const auto attempt = m_attempts.find(id);
+        if (attempt != m_attempts.end() && !attempt->second.givenUp)
+            giveUp(id, closeAtOnce);
+    }
+}
+
+} // namespace curranttrail::routing
--- /dev/null
+++ b/routing/server_table.cpp
@@ -0,0 +1,200 @@
+#include "routing/server_table.h"
+
+#include <boost/random/uniform_real_distribution.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace curranttrail::routing {
+
+namespace {
+    // More connections than this to one server only move its queue to the server.
+    constexpr std::uint32_t kMostConnections = 6;
+    // A reported load says nothing any more after this time.
+    constexpr Micros kLoadLifetime { 150'000 };
+    // The usual time to open a connection; it is what a request without an idle connection pays more.
+    constexpr double kOpenMicros = 6'000;
+    // Crossing data centres costs a round trip and is paid for by the byte.
+    constexpr double kRemoteMicros = 1'500;
+    // A paused server stays silent for about this long.
+    constexpr double kPauseMicros = 90'000;
+    // A suspended server is a last resort.
+    constexpr double kSuspendedMicros = 2e6;
+    // Work on a cold server takes longer by this factor.
+    constexpr double kColdFactor = 1.6;
+    // Spreads instances with the same view over servers of about the same cost.
+    constexpr double kJitterMicros = 800;
+} // namespace
+
+Server::Server(ServerRecord listed, TimePoint now)
+    : record(std::move(listed))
+    , health(false, now)
+{
+}
+
+bool Server::canOpen(TimePoint now) const
+{
+    return takesWork() && connections < allowance && now >= connectNotBefore;
+}
+
+ServerTable::ServerTable(DataCentreName dataCentre, InstanceName self)
+    : m_dataCentre(std::move(dataCentre))
+    , m_self(std::move(self))
+{
+}
+
+ServerTable::Changes ServerTable::apply(const ServerList& list, Micros age, TimePoint now)
+{
+    Changes changes;
+    std::set<std::string_view> named;
+    for (const ServerRecord& record : list) {
+        named.insert(record.instance);
+        Server* server = find(record.instance);
+        if (!server) {
+            std::unique_ptr<Server> created = std::make_unique<Server>(record, now);
+            server = created.get();
+            m_servers.emplace(record.instance, std::move(created));
+            m_collections[record.collection].push_back(server);
+            server->coldUntil = now + record.coldFor - age;
+            changes.appeared.push_back(server);
+            if (record.leaving)
+                changes.leaving.push_back(server);
+            continue;
+        }
+        const bool worked = server->takesWork();
+        // The same incarnation at another address or in another collection cannot be trusted to be the same server.
+        if (server->record.address != record.address || server->record.collection != record.collection)
+            server->gone = true;
+        server->record.leaving = record.leaving;
+        server->record.slots = record.slots;
+        if (worked && !server->takesWork())
+            changes.leaving.push_back(server);
+    }
+    for (const auto& [instance, server] : m_servers) {
+        if (server->gone || named.contains(instance))
+            continue;
+        server->gone = true;
+        changes.leaving.push_back(server.get());
+    }
+    return changes;
+}
+
+bool ServerTable::setInstances(std::vector<InstanceName> instances, TimePoint now)
+{
+    const std::uint32_t before = m_shares.instanceCount();
+    m_shares.setInstances(m_self, std::move(instances), now);
+    return m_shares.instanceCount() != before;
+}
+
+void ServerTable::updateAllowances(const std::map<CollectionName, CollectionSpec>& specs, TimePoint now)
+{
+    for (const auto& [name, servers] : m_collections) {
+        const auto spec = specs.find(name);
+        updateAllowance(spec == specs.end() ? nullptr : &spec->second, servers, now);
+    }
+}
+
+void ServerTable::updateAllowance(const CollectionSpec* spec, const std::vector<Server*>& servers, TimePoint now)
+{
+    Server* fallback = nullptr;
+    std::uint32_t most = 0;
+    for (Server* server : servers) {
+        server->allowance = spec ? std::min(m_shares.share(server->record.instance, spec->connectionLimit, now), kMostConnections) : 0;
+        if (!server->takesWork())
+            continue;
+        most = std::max(most, server->allowance);
+        // If no share reaches a whole connection, the instances spread over the servers by this hash.
+        const auto rankOf = [this](const Server* candidate) { return std::hash<std::string> {}(m_self + '/' + candidate->record.instance); };
+        if (!fallback || rankOf(server) < rankOf(fallback))
+            fallback = server;
+    }
+    if (spec && most == 0 && fallback)
+        fallback->allowance = 1;
+}
+
+Server* ServerTable::find(const std::string& instance)
+{
+    const auto it = m_servers.find(instance);
+    return it == m_servers.end() ? nullptr : it->second.get();
+}
+
+const std::vector<Server*>& ServerTable::of(const CollectionName& collection) const
+{
+    static const std::vector<Server*> none;
+    const auto it = m_collections.find(collection);
+    return it == m_collections.end() ? none : it->second;
+}
+
+double ServerTable::cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const
+{
+    const double typical = std::max(1.0, static_cast<double>(estimate.typical.count()));
+    const double slots = std::max(1U, server.record.slots);
+    double ahead = server.ownWork();
+    double factor = now < server.coldUntil ? kColdFactor : 1;
+    if (server.loadAt != TimePoint::min() && now - server.loadAt < kLoadLifetime) {
+        const Micros age = now - server.loadAt;
+        const double trust = 1 - static_cast<double>(age.count()) / static_cast<double>(kLoadLifetime.count());
+        const double others = static_cast<double>(server.load.running + server.load.waiting) - server.ownAtLoad;
+        ahead += trust * std::max(0.0, others);
+        factor *= 1 + trust * (std::max(1.0, server.load.slowdown) - 1);
+    }
+    // Work beyond the free slots waits for a whole round of the slots.
+    double micros = typical * factor * (1 + std::max(0.0, ahead + 1 - slots) / slots + 0.1 * ahead);
+    if (!server.canSendAtOnce())
+        micros += server.canOpen(now) || server.opening > server.waiting.size() ? kOpenMicros : typical * 2;
+    if (!server.unanswered.empty()) {
+        const TimePoint oldest = std::min_element(server.unanswered.begin(), server.unanswered.end(), [](const auto& a, const auto& b) { return a.second < b.second; })->second;
+        if (now - oldest > estimate.pauseBound && server.lastReply < oldest + estimate.pauseBound)
+            micros += kPauseMicros;
+    }
+    if (server.record.dataCentre != m_dataCentre)
+        micros += kRemoteMicros;
+    if (server.health.isSuspended(now) || now < server.connectNotBefore)
+        micros += kSuspendedMicros;
+    return micros;
+}
+
+Server* ServerTable::choose(const CollectionName& collection, const std::vector<const Server*>& avoided, const WorkEstimate& estimate, Random& random, TimePoint now) const
+{
+    Server* best = nullptr;
+    double least = 0;
+    boost::random::uniform_real_distribution<double> jitter(0, kJitterMicros);
+    for (Server* server : of(collection)) {
+        if (!server->takesWork() || server->allowance == 0 || std::find(avoided.begin(), avoided.end(), server) != avoided.end())
+            continue;
+        if (server->connections == 0 && !server->canOpen(now))
+            continue;
+        const double micros = cost(*server, estimate, now) + jitter(random);
+        if (best && micros >= least)
+            continue;
+        best = server;
+        least = micros;
+    }
+    return best;
+}
+
+bool ServerTable::hasUsable(const CollectionName& collection) const
+{
+    const std::vector<Server*>& servers = of(collection);
+    return std::any_of(servers.begin(), servers.end(), [](const Server* server) { return server->takesWork(); });
+}
+
+void ServerTable::forgetGone()
+{
+    for (auto it = m_servers.begin(); it != m_servers.end();) {
+        const Server& server = *it->second;
+        if (!server.gone || server.connections > 0 || server.ownWork() > 0) {
+            ++it;
+            continue;
+        }
+        const auto collection = m_collections.find(server.record.collection);
+        std::erase(collection->second, &server);
+        if (collection->second.empty())
+            m_collections.erase(collection);
+        it = m_servers.erase(it);
+    }
+}
+
+} // namespace curranttrail::routing
--- /dev/null
+++ b/routing/server_table.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/random.h"
+#include "core/units.h"
+#include "policy/connection_shares.h"
+#include "policy/server_health.h"
+#include "routing/messages.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace curranttrail::routing {
+
+// A backend server as this instance sees it.
+struct Server {
+    Server(ServerRecord listed, TimePoint now);
+
+    ServerRecord record;
+    policy::ServerHealth health;
+    // Set once the list no longer names it, or another incarnation answered at its address.
+    bool gone = false;
+    TimePoint coldUntil;
+    std::vector<ConnectionId> idle;
+    std::uint32_t connections = 0;
+    std::uint32_t opening = 0;
+    // Attempts sent and not answered, with the time of sending; given-up ones stay until their reply or their end.
+    std::map<AttemptId, TimePoint> unanswered;
+    // Attempts that wait for a connection.
+    std::vector<AttemptId> waiting;
+    ServerLoad load;
+    TimePoint loadAt = TimePoint::min();
+    // The attempts of this instance that the reported load included.
+    std::uint32_t ownAtLoad = 0;
+    TimePoint lastReply = TimePoint::min();
+    // After a connection could not be opened, no other is tried before this.
+    TimePoint connectNotBefore = TimePoint::min();
+    // The connections that this instance may hold.
+    std::uint32_t allowance = 1;
+
+    bool takesWork() const { return !gone && !record.leaving; }
+    bool canSendAtOnce() const { return !idle.empty(); }
+    bool canOpen(TimePoint now) const;
+    std::uint32_t ownWork() const { return static_cast<std::uint32_t>(unanswered.size() + waiting.size()); }
+};
+
+// What decides how long work on a server is expected to take.
+struct WorkEstimate {
+    // The typical duration of the work when nothing waits.
+    Micros typical { 0 };
+    // An unanswered attempt older than this marks its server as paused.
+    Micros pauseBound { 0 };
+};
+
+// The servers of all collections, with what this instance observed of each.
+class ServerTable {
+public:
+    ServerTable(DataCentreName dataCentre, InstanceName self);
+
+    // Takes over a complete list. Returns the servers that appeared and those that may get no new work any more.
+    struct Changes {
+        std::vector<Server*> appeared;
+        std::vector<Server*> leaving;
+    };
+    Changes apply(const ServerList& list, Micros age, TimePoint now);
+    // Returns whether the set of instances changed.
+    bool setInstances(std::vector<InstanceName> instances, TimePoint now);
+    // Computes anew how many connections to each server this instance may hold.
+    void updateAllowances(const std::map<CollectionName, CollectionSpec>& specs, TimePoint now);
+    bool expireShares(TimePoint now) { return m_shares.expire(now); }
+    std::uint32_t instanceCount() const { return m_shares.instanceCount(); }
+
+    Server* find(const std::string& instance);
+    const std::vector<Server*>& of(const CollectionName& collection) const;
+    // Returns the usable server with the least expected time, none if there is none. The avoided ones are left out.
+    Server* choose(const CollectionName& collection, const std::vector<const Server*>& avoided, const WorkEstimate& estimate, Random& random, TimePoint now) const;
+    // Returns whether any server of the collection takes work.
+    bool hasUsable(const CollectionName& collection) const;
+    // Drops servers that are gone and have no connection left.
+    void forgetGone();
+
+    const std::unordered_map<std::string, std::unique_ptr<Server>>& all() const { return m_servers; }
+
+private:
+    double cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const;
+    void updateAllowance(const CollectionSpec* spec, const std::vector<Server*>& servers, TimePoint now);
+
+    const DataCentreName m_dataCentre;
+    const InstanceName m_self;
+    policy::ConnectionShares m_shares;
+    std::unordered_map<std::string, std::unique_ptr<Server>> m_servers;
+    std::map<CollectionName, std::vector<Server*>> m_collections;
+};
+
+} // namespace curranttrail::routing
--- a/tools/format.sh
+++ b/tools/format.sh
@@ -6,5 +6,5 @@
 if [ "${1:-}" = "--check" ]; then
     mode=(--dry-run -Werror)
 fi
-find core policy query control membership usage storage transport main tests tools \( -name '*.cpp' -o -name '*.h' \) -print0 |
+find core policy query routing platform control membership usage storage transport main tests tools \( -name '*.cpp' -o -name '*.h' \) -print0 |
     xargs -0 -r -P 8 -n 8 clang-format "${mode[@]}"
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -7,5 +7,5 @@
     printf '%s\0' "$@"
 else
     # The slowest files, which include Asio and Beast, start first.
-    find transport main tests tools storage core policy query control membership usage -name '*.cpp' -print0
+    find transport main tests tools platform storage core policy query routing control membership usage -name '*.cpp' -print0
 fi | xargs -0 -r -P "$(nproc)" -n 1 clang-tidy -p build/lint --quiet 2>/dev/null
--- a/transport/control_protocol.h
+++ b/transport/control_protocol.h
@@ -28,6 +28,10 @@
     ShipUsage = 5,
     // One way: an opaque message between usage ledgers.
     ExchangeHeads = 6,
+    // One way: control::JoinRequest of an instance that is not a member of the group, or has no leader.
+    JoinGroup = 7,
+    // control::WatchRequest -> control::WatchReply.
+    Watch = 8,
 };
 
 struct ReplicaMessage {
--- a/transport/event_sink.cpp
+++ b/transport/event_sink.cpp
@@ -7,6 +7,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
+
+#include <unistd.h>
 
 namespace curranttrail::transport {
 
@@ -40,6 +43,13 @@
     return std::chrono::time_point_cast<Micros>(std::chrono::steady_clock::now());
 }
 
+TimePoint bootTimeNow()
+{
+    timespec now {};
+    ::clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint { std::chrono::duration_cast<Micros>(std::chrono::seconds { now.tv_sec } + std::chrono::nanoseconds { now.tv_nsec }) };
+}
+
 std::uint64_t CausalClock::stamp()
 {
     const std::uint64_t wall = static_cast<std::uint64_t>(wallClockNow()) << kCounterBits;
@@ -81,6 +91,38 @@
         m_kept.pop_front();
     if (m_options.output)
         std::fwrite(line.data(), 1, line.size(), m_options.output);
+    if (m_options.descriptor >= 0)
+        writeToDescriptor(fmt::to_string(line), event.description->severity);
+}
+
+void EventSink::writeToDescriptor(std::string line, Severity severity)
+{
+    const std::int64_t second = monotonicNow().time_since_epoch() / std::chrono::seconds { 1 };
+    if (second != m_second) {
+        m_second = second;
+        m_linesInSecond = 0;
+    }
+    if (m_options.linesPerSecond > 0 && severity < Severity::Warning && m_linesInSecond >= m_options.linesPerSecond) {
+        ++m_dropped;
+        return;
+    }
+    ++m_linesInSecond;
+    // The number of dropped lines rides on the next line that is written.
+    if (m_dropped != m_droppedReported) {
+        line.pop_back();
+        line += fmt::format(" dropped_lines={}\n", m_dropped);
+    }
+    const ssize_t written = ::write(m_options.descriptor, line.data(), line.size());
+    if (written == static_cast<ssize_t>(line.size()))
+        m_droppedReported = m_dropped;
+    else
+        ++m_dropped;
+}
+
+std::uint64_t EventSink::droppedLines() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_dropped;
 }
 
 void EventSink::log(const EventDescription& description, std::vector<EventField> fields)
--- a/transport/event_sink.h
+++ b/transport/event_sink.h
@@ -34,6 +34,9 @@
 // Monotonic time at the resolution of the reducers.
 TimePoint monotonicNow();
 
+// Monotonic time that also counts while the machine is suspended. A lease is judged by it.
+TimePoint bootTimeNow();
+
 // Writes numbered events as one line each and keeps the most recent ones. May be called from any thread.
 class EventSink {
 public:
@@ -44,6 +47,10 @@
         std::size_t kept = 1024;
         // Where lines go; null writes nothing.
         std::FILE* output = stderr;
+        // A descriptor in non-blocking mode that gets the lines as well; -1 for none. A line that it does not take is dropped.
+        int descriptor = -1;
+        // Lines for the descriptor in each second, warnings and errors apart; 0 for no limit.
+        std::uint32_t linesPerSecond = 0;
     };
 
     explicit EventSink(Options options);
@@ -55,6 +62,9 @@
     // {"instance", "first", "next", "events": [..]}. "first" is the oldest sequence number kept, so a gap is visible.
     std::string recentAsJson(std::uint64_t after, std::size_t limit = 256) const;
 
+    // Lines that were not written because the output was full or the rate limit was reached.
+    std::uint64_t droppedLines() const;
+
     CausalClock& clock() { return m_clock; }
     const InstanceName& instance() const { return m_options.instance; }
 
@@ -67,8 +77,14 @@
         std::vector<EventField> fields;
     };
 
+    void writeToDescriptor(std::string line, Severity severity);
+
     const Options m_options;
     CausalClock m_clock;
+    std::uint64_t m_dropped = 0;
+    std::uint64_t m_droppedReported = 0;
+    std::int64_t m_second = 0;
+    std::uint32_t m_linesInSecond = 0;
     mutable std::mutex m_mutex;
     std::uint64_t m_next = 1;
     std::deque<Kept> m_kept;
--- /dev/null
+++ b/transport/raw_http_server.cpp
@@ -0,0 +1,367 @@
+#include "transport/raw_http_server.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <fmt/format.h>
+
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace curranttrail::transport {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+    // Read in one step; larger requests take several.
+    constexpr std::size_t kReadBytes = 16'384;
+    // How often connections are checked against their time limits.
+    constexpr std::chrono::milliseconds kSweepInterval { 500 };
+    // Pipelined bytes beyond this are not read while a request is handled.
+    constexpr std::size_t kMostPipelined = 65'536;
+    constexpr int kBacklog = 512;
+}
+
+class RawHttpServer::Impl : public std::enable_shared_from_this<Impl> {
+public:
+    Impl(asio::io_context& context, const Endpoint& bind, Handlers handlers)
+        : m_context(context)
+        , m_acceptor(context)
+        , m_sweep(context)
+        , m_handlers(std::move(handlers))
+        , m_scratch(kReadBytes)
+    {
+        error_code ec;
+        const Tcp::endpoint endpoint(asio::ip::make_address(bind.address, ec), bind.port);
+        if (!ec)
+            m_acceptor.open(endpoint.protocol(), ec);
+        if (!ec)
+            m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+        if (!ec)
+            m_acceptor.bind(endpoint, ec);
+        if (!ec)
+            m_acceptor.listen(kBacklog, ec);
+        if (ec)
+            throw std::runtime_error(fmt::format("cannot listen on {}: {}", bind.text(), ec.message()));
+    }
+
+    void start()
+    {
+        accept();
+        scheduleSweep();
+    }
+
+    void stop()
+    {
+        error_code ec;
+        m_acceptor.close(ec);
+        m_sweep.cancel();
+        m_handlers = {};
+        for (const auto& [id, session] : std::exchange(m_sessions, {}))
+            session->socket.close(ec);
+        m_exchanges.clear();
+    }
+
+    std::uint16_t port() const
+    {
+        error_code ec;
+        return m_acceptor.local_endpoint(ec).port();
+    }
+
+    void setLimits(const RawServerLimits& limits) { m_limits = limits; }
+
+    void respond(ExchangeId exchange, const RawReply& reply)
+    {
+        const auto it = m_exchanges.find(exchange);
+        if (it == m_exchanges.end())
+            return;
+        const std::shared_ptr<Session> session = it->second;
+        m_exchanges.erase(it);
+        const bool head = session->method == "HEAD";
+        session->closeAfter = session->closeAfter || m_retiring;
+        write(session, replyText(reply, !head, session->closeAfter));
+    }
+
+    void retire() { m_retiring = true; }
+
+    void stopAccepting()
+    {
+        error_code ec;
+        m_acceptor.close(ec);
+    }
+
+    void closeIdle()
+    {
+        std::vector<std::shared_ptr<Session>> idle;
+        for (const auto& [id, session] : m_sessions) {
+            if (session->state == State::Reading && !session->begun)
+                idle.push_back(session);
+        }
+        for (const std::shared_ptr<Session>& session : idle)
+            close(session);
+    }
+
+    std::size_t exchanges() const { return m_exchanges.size(); }
+    std::size_t connections() const { return m_sessions.size(); }
+
+private:
+    enum class State {
+        Reading,
+        Handling,
+        Writing,
+        Closed,
+    };
+
+    struct Session {
+        explicit Session(Tcp::socket accepted)
+            : socket(std::move(accepted))
+        {
+        }
+
+        Tcp::socket socket;
+        std::uint64_t id = 0;
+        State state = State::Reading;
+        std::optional<http::request_parser<http::string_body>> parser;
+        // Bytes that were read and not parsed yet.
+        std::string pending;
+        std::string output;
+        std::string method;
+        // The time of the first byte of a request, or of the last answer.
+        Clock::time_point since = Clock::now();
+        ExchangeId exchange;
+        // A part of a request has come.
+        bool begun = false;
+        bool closeAfter = false;
+        bool waitingForBytes = false;
+    };
+
+    void accept()
+    {
+        m_acceptor.async_accept([self = shared_from_this()](const error_code& ec, Tcp::socket socket) {
+            if (ec == asio::error::operation_aborted || !self->m_acceptor.is_open())
+                return;
+            if (!ec)
+                self->begin(std::move(socket));
+            self->accept();
+        });
+    }
+
+    void begin(Tcp::socket socket)
+    {
+        error_code ec;
+        socket.set_option(Tcp::no_delay(true), ec);
+        socket.non_blocking(true, ec);
+        const std::shared_ptr<Session> session = std::make_shared<Session>(std::move(socket));
+        session->id = ++m_lastSession;
+        m_sessions[session->id] = session;
+        waitForBytes(session);
+    }
+
+    void waitForBytes(const std::shared_ptr<Session>& session)
+    {
+        if (session->waitingForBytes || session->state == State::Closed || session->pending.size() > kMostPipelined)
+            return;
+        session->waitingForBytes = true;
+        session->socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), session](const error_code& ec) {
+            session->waitingForBytes = false;
+            if (ec || session->state == State::Closed)
+                return;
+            self->read(session);
+        });
+    }
+
+    void read(const std::shared_ptr<Session>& session)
+    {
+        error_code ec;
+        const std::size_t size = session->socket.read_some(asio::buffer(m_scratch), ec);
+        if (ec == asio::error::would_block || ec == asio::error::try_again) {
+            waitForBytes(session);
+            return;
+        }
+        if (ec) {
+            // A caller that leaves while its answer is written does not matter here.
+            close(session);
+            return;
+        }
+        session->pending.append(m_scratch.data(), size);
+        if (session->state == State::Reading)
+            parse(session);
+        waitForBytes(session);
+    }
+
+    void parse(const std::shared_ptr<Session>& session)
+    {
+        if (!session->parser) {
+            session->parser.emplace();
+            session->parser->eager(true);
+            session->parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+            session->parser->body_limit(m_limits.bodyBytes);
+        }
+        if (!session->begun && !session->pending.empty()) {
+            session->begun = true;
+            session->since = Clock::now();
+        }
+        error_code ec;
+        while (!session->pending.empty() && !session->parser->is_done()) {
+            const std::size_t used = session->parser->put(asio::buffer(session->pending), ec);
+            session->pending.erase(0, used);
+            if (ec || used == 0)
+                break;
+        }
+        if (ec && ec != http::error::need_more) {
+            rejectInput(session, ec);
+            return;
+        }
+        // Larger headers would never be complete within the limit.
+        if (!session->parser->is_header_done() && session->pending.size() > m_limits.headerBytes) {
+            rejectInput(session, http::error::header_limit);
+            return;
+        }
+        if (session->parser->is_done())
+            handle(session);
+    }
+
+    void handle(const std::shared_ptr<Session>& session)
+    {
+        http::request<http::string_body> message = session->parser->release();
+        session->parser.reset();
+        session->begun = false;
+        session->state = State::Handling;
+        session->closeAfter = !message.keep_alive();
+        RawRequest request;
+        request.method = std::string { message.method_string() };
+        request.target = std::string { message.target() };
+        request.body = std::move(message.body());
+        for (const auto& field : message)
+            request.fields.emplace_back(std::string { field.name_string() }, std::string { field.value() });
+        session->method = request.method;
+        session->exchange = ExchangeId { ++m_lastExchange };
+        m_exchanges[session->exchange] = session;
+        m_handlers.request(session->exchange, std::move(request));
+    }
+
+    void rejectInput(const std::shared_ptr<Session>& session, const error_code& ec)
+    {
+        RawReply reply;
+        reply.status = 400;
+        if (ec == http::error::body_limit)
+            reply.status = 413;
+        else if (ec == http::error::header_limit)
+            reply.status = 431;
+        reply.body = refusalBody("malformed", "not_run", "not a valid HTTP/1.1 request: " + ec.message());
+        session->closeAfter = true;
+        write(session, replyText(reply, true, true));
+    }
+
+    void write(const std::shared_ptr<Session>& session, std::string text)
+    {
+        session->state = State::Writing;
+        session->output = std::move(text);
+        asio::async_write(session->socket, asio::buffer(session->output), [self = shared_from_this(), session](const error_code& ec, std::size_t) {
+            if (session->state == State::Closed)
+                return;
+            if (ec || session->closeAfter) {
+                error_code ignored;
+                session->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+                self->close(session);
+                return;
+            }
+            session->state = State::Reading;
+            session->since = Clock::now();
+            session->output.clear();
+            if (!session->pending.empty())
+                self->parse(session);
+            self->waitForBytes(session);
+        });
+    }
+
+    void close(const std::shared_ptr<Session>& session)
+    {
+        if (session->state == State::Closed)
+            return;
+        const bool handling = session->state == State::Handling;
+        session->state = State::Closed;
+        error_code ec;
+        session->socket.close(ec);
+        m_sessions.erase(session->id);
+        if (!handling)
+            return;
+        m_exchanges.erase(session->exchange);
+        m_handlers.gone(session->exchange);
+    }
+
+    void scheduleSweep()
+    {
+        m_sweep.expires_after(kSweepInterval);
+        m_sweep.async_wait([weak = weak_from_this()](const error_code& ec) {
+            const std::shared_ptr<Impl> self = weak.lock();
+            if (ec || !self)
+                return;
+            self->sweep();
+            self->scheduleSweep();
+        });
+    }
+
+    void sweep()
+    {
+        const Clock::time_point now = Clock::now();
+        std::vector<std::shared_ptr<Session>> idle;
+        std::vector<std::shared_ptr<Session>> slow;
+        for (const auto& [id, session] : m_sessions) {
+            if (session->state != State::Reading)
+                continue;
+            if (session->begun && now - session->since > m_limits.requestTime)
+                slow.push_back(session);
+            else if (!session->begun && now - session->since > m_limits.idleTime)
+                idle.push_back(session);
+        }
+        for (const std::shared_ptr<Session>& session : idle)
+            close(session);
+        for (const std::shared_ptr<Session>& session : slow) {
+            RawReply reply;
+            reply.status = 408;
+            reply.body = refusalBody("timeout", "not_run", "the request was not complete in time");
+            session->closeAfter = true;
+            write(session, replyText(reply, true, true));
+        }
+    }
+
+    asio::io_context& m_context;
+    Tcp::acceptor m_acceptor;
+    asio::steady_timer m_sweep;
+    Handlers m_handlers;
+    RawServerLimits m_limits;
+    std::vector<char> m_scratch;
+    std::map<std::uint64_t, std::shared_ptr<Session>> m_sessions;
+    std::unordered_map<ExchangeId, std::shared_ptr<Session>> m_exchanges;
+    std::uint64_t m_lastSession = 0;
+    std::uint64_t m_lastExchange = 0;
+    bool m_retiring = false;
+};
+
+RawHttpServer::RawHttpServer(asio::io_context& context, const Endpoint& bind, Handlers handlers)
+    : m_impl(std::make_shared<Impl>(context, bind, std::move(handlers)))
+{
+    m_impl->start();
+}
+
+RawHttpServer::~RawHttpServer() { m_impl->stop(); }
+std::uint16_t RawHttpServer::port() const { return m_impl->port(); }
+void RawHttpServer::setLimits(const RawServerLimits& limits) { m_impl->setLimits(limits); }
+void RawHttpServer::respond(ExchangeId exchange, const RawReply& reply) { m_impl->respond(exchange, reply); }
+void RawHttpServer::retireConnections() { m_impl->retire(); }
+void RawHttpServer::stopAccepting() { m_impl->stopAccepting(); }
+void RawHttpServer::closeIdle() { m_impl->closeIdle(); }
+std::size_t RawHttpServer::exchanges() const { return m_impl->exchanges(); }
+std::size_t RawHttpServer::connections() const { return m_impl->connections(); }
+
+} // namespace curranttrail::transport
--- a/transport/signals.cpp
+++ b/transport/signals.cpp
@@ -10,10 +10,13 @@
 namespace curranttrail::transport {
 
 struct StopSignals::Impl : std::enable_shared_from_this<StopSignals::Impl> {
-    Impl(boost::asio::io_context& context, std::function<void(int)> callback)
+    Impl(boost::asio::io_context& context, std::function<void(int)> callback, std::function<void()> reload)
         : signals(context, SIGTERM, SIGINT)
         , callback(std::move(callback))
+        , reload(std::move(reload))
     {
+        if (this->reload)
+            signals.add(SIGHUP);
     }
 
     void wait()
@@ -21,17 +24,21 @@
         signals.async_wait([self = shared_from_this()](const boost::system::error_code& ec, int signal) {
             if (ec)
                 return;
-            self->callback(signal);
+            if (signal == SIGHUP)
+                self->reload();
+            else
+                self->callback(signal);
             self->wait();
         });
     }
 
     boost::asio::signal_set signals;
     std::function<void(int)> callback;
+    std::function<void()> reload;
 };
 
-StopSignals::StopSignals(IoThreads& threads, std::function<void(int signal)> callback)
-    : m_impl(std::make_shared<Impl>(threads.context(), std::move(callback)))
+StopSignals::StopSignals(IoThreads& threads, std::function<void(int signal)> callback, std::function<void()> reload)
+    : m_impl(std::make_shared<Impl>(threads.context(), std::move(callback), std::move(reload)))
 {
     m_impl->wait();
 }
