--- a/routing/router.h
+++ b/routing/router.h
@@ -174,6 +174,7 @@
     void takeSuccess(RequestKey key, Request& request, Part& part, ServerReply reply);
     void attemptFailed(RequestKey key, std::size_t index, const Server* server, AttemptProgress progress, std::string_view reason);
     bool repeatPart(RequestKey key, Request& request, std::size_t index, std::string_view reason);
+    void moveWaiting(RequestKey key, Request& request, std::size_t index);
     policy::SharedBudget& budgetOf(const CollectionName& collection);
 
     // router_requests.cpp: the course and the end of a request
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -287,6 +287,25 @@
     check(key);
 }
 
+// Moves a part that still waits for a connection to another server. Its first attempt must not be sent as well, because that
+// arrival would be a repeat that the budget does not know of.
+void Router::moveWaiting(RequestKey key, Request& request, std::size_t index)
+{
+    Part& part = request.parts[index];
+    const auto waiting = std::find_if(request.attempts.begin(), request.attempts.end(), [&](AttemptId id) {
+        const auto it = m_attempts.find(id);
+        return it != m_attempts.end() && it->second.part == index && !it->second.givenUp;
+    });
+    if (waiting == request.attempts.end())
+        return;
+    const AttemptId first = *waiting;
+    if (!startAttempt(key, request, index))
+        return;
+    --part.inFlight;
+    giveUp(first, false);
+    log(events::kAttemptRepeated, { { "request", request.id }, { "server", part.tried.back()->record.instance }, { "collection", part.collection }, { "reason", "still waiting for a connection" }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
+}
+
 // Sends a part to another server, as a hedge or after a failure, if the route, the request and the shared budget allow it.
 bool Router::repeatPart(RequestKey key, Request& request, std::size_t index, std::string_view reason)
 {
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -81,7 +81,11 @@
     const Micros delay = hedgeDelay(*request.route, request.work->hedgeDelay);
     for (std::size_t n = 0; n < request.parts.size(); ++n) {
         const Part& part = request.parts[n];
-        if (part.state == PartState::Open && part.inFlight == 1 && part.tried.size() == 1 && m_now - part.startedAt >= delay)
+        if (part.state != PartState::Open || part.inFlight != 1 || part.tried.size() != 1 || m_now - part.startedAt < delay)
+            continue;
+        if (part.sent == 0)
+            moveWaiting(key, request, n);
+        else
             repeatPart(key, request, n, "late");
     }
 }
