--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -27,10 +27,10 @@
     constexpr Micros kListInterval { 1'000'000 };
     constexpr Micros kJoinInterval { 1'000'000 };
     // Heartbeats and elections of a group that spans data centres on small shares of a processor.
-    constexpr Micros kHeartbeat { 120'000 };
-    constexpr Micros kElectionLeast { 800'000 };
-    constexpr Micros kElectionMost { 1'500'000 };
-    constexpr Micros kLease { 650'000 };
+    constexpr Micros kHeartbeat { 100'000 };
+    constexpr Micros kElectionLeast { 500'000 };
+    constexpr Micros kElectionMost { 900'000 };
+    constexpr Micros kLease { 420'000 };
     // Documents are large, so few of them are kept behind a snapshot.
     constexpr std::size_t kCompactionEntries = 48;
     constexpr std::size_t kRetainedEntries = 12;
--- a/main/group_links.cpp
+++ b/main/group_links.cpp
@@ -14,9 +14,9 @@
 
 namespace {
     constexpr std::size_t kMostFrameBytes = 16u << 20;
-    constexpr std::chrono::milliseconds kKeepAlive { 300 };
+    constexpr std::chrono::milliseconds kKeepAlive { 150 };
     // Shorter than the least election time-out, so that a silent connection is replaced before it costs a leader its followers.
-    constexpr std::chrono::milliseconds kSilenceLimit { 700 };
+    constexpr std::chrono::milliseconds kSilenceLimit { 450 };
     // The server side also serves entry instances, which send less often than replicas.
     constexpr std::chrono::milliseconds kServerSilenceLimit { 3'000 };
     constexpr std::chrono::milliseconds kHandshakeLimit { 600 };
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -254,6 +254,7 @@
         if (it == m_attempts.end())
             continue;
         noteServerFailure(*it->second.server, "no reply to a request that was given up");
+        noteUnanswered(it->second);
         const ConnectionId connection = *it->second.connection;
         closeConnection(connection);
     }
--- a/routing/router.h
+++ b/routing/router.h
@@ -120,6 +120,7 @@
         TimePoint sentAt;
         bool givenUp = false;
         std::uint32_t priority = 0;
+        WorkKind* work = nullptr;
     };
 
     struct Connection {
@@ -169,7 +170,8 @@
     void closeConnection(ConnectionId id);
     void failWaiting(Server& server);
     void giveUp(AttemptId id, bool closeAtOnce);
-    void noteDuration(WorkKind& work, Micros duration);
+    void noteDuration(WorkKind& work, Server& server, Micros duration);
+    void noteUnanswered(const Attempt& attempt);
     void noteServerFailure(Server& server, std::string_view reason);
     void takeSuccess(RequestKey key, Request& request, Part& part, ServerReply reply);
     void attemptFailed(RequestKey key, std::size_t index, const Server* server, AttemptProgress progress, std::string_view reason);
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -12,6 +12,8 @@
 namespace {
     // Before durations are known, work is assumed to take this part of the aim.
     constexpr int kAssumedWorkDivisor = 8;
+    // A failed attempt costs about this part of the aim.
+    constexpr int kFailureCostDivisor = 2;
     // Attempts that may wait for a connection to one server, for each connection that it may have.
     constexpr std::size_t kWaitingPerConnection = 4;
     // Quantiles are computed anew after this many replies.
@@ -36,6 +38,7 @@
     Part& part = request.parts[index];
     WorkEstimate estimate;
     estimate.typical = request.work->durations.weight() >= kLeastSamples ? request.work->durations.median() : request.route->aim / kAssumedWorkDivisor;
+    estimate.failureCost = request.route->aim / kFailureCostDivisor;
     estimate.pauseBound = request.work->hedgeDelay.count() > 0 ? request.work->hedgeDelay : request.route->aim / 3;
     Server* server = m_servers.choose(part.collection, part.tried, estimate, m_random, m_now);
     if (!server || server->waiting.size() >= kWaitingPerConnection * std::max(1U, server->allowance))
@@ -46,6 +49,7 @@
     attempt.part = index;
     attempt.server = server;
     attempt.priority = request.route->priority;
+    attempt.work = request.work;
     part.tried.push_back(server);
     ++part.inFlight;
     request.attempts.push_back(id);
@@ -159,8 +163,10 @@
         m_givenUp.push_back({ m_now, id });
 }
 
-void Router::noteDuration(WorkKind& work, Micros duration)
+void Router::noteDuration(WorkKind& work, Server& server, Micros duration)
 {
+    if (work.durations.weight() >= kLeastSamples)
+        server.quality.onDuration(static_cast<double>(duration.count()) / static_cast<double>(std::max<Micros::rep>(1, work.durations.median().count())), m_now);
     work.durations.add(duration);
     if (work.samplesToRefresh > 0) {
         --work.samplesToRefresh;
@@ -172,6 +178,15 @@
     work.samplesToRefresh = kSamplesPerRefresh;
 }
 
+// An attempt that was given up tells at least how long its server did not answer.
+void Router::noteUnanswered(const Attempt& attempt)
+{
+    if (!attempt.connection || !attempt.work || attempt.work->durations.weight() < kLeastSamples)
+        return;
+    const double elapsed = static_cast<double>((m_now - attempt.sentAt).count());
+    attempt.server->quality.onUnanswered(elapsed / static_cast<double>(std::max<Micros::rep>(1, attempt.work->durations.median().count())), m_now);
+}
+
 void Router::on(const AttemptReplied& event)
 {
     const auto it = m_attempts.find(event.attempt);
@@ -208,9 +223,10 @@
         noteServerFailure(server, nameOf(kReplyKindNames, kind));
     }
 
+    server.quality.onOutcome(kind == ReplyKind::Success, m_now);
+    if (kind == ReplyKind::Success)
+        noteDuration(*attempt.work, server, std::chrono::duration_cast<Micros>(m_now - attempt.sentAt));
     const auto found = m_requests.find(attempt.request);
-    if (found != m_requests.end() && kind == ReplyKind::Success)
-        noteDuration(*found->second.work, std::chrono::duration_cast<Micros>(m_now - attempt.sentAt));
     dispatchWaiting(server);
     if (attempt.givenUp || found == m_requests.end())
         return;
@@ -238,6 +254,7 @@
     Server& server = *attempt.server;
     dropConnection(*attempt.connection);
     noteServerFailure(server, event.reason);
+    server.quality.onOutcome(false, m_now);
     dispatchWaiting(server);
     if (!attempt.givenUp)
         attemptFailed(attempt.request, attempt.part, &server, AttemptProgress::Unknown, event.reason);
--- /dev/null
+++ b/routing/server_quality.cpp
@@ -0,0 +1,51 @@
+#include "routing/server_quality.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace curranttrail::routing {
+
+namespace {
+    // Five to seven samples decide; a single pause of a server does not.
+    constexpr double kSampleWeight = 0.15;
+    constexpr double kMostRatio = 6;
+    constexpr double kLeastRatio = 0.4;
+    // Observations lose most of their meaning after this time.
+    constexpr double kMemoryMicros = 3e6;
+
+    double fade(TimePoint since, TimePoint now)
+    {
+        return std::exp(-std::max(0.0, static_cast<double>((now - since).count())) / kMemoryMicros);
+    }
+}
+
+void ServerQuality::onDuration(double ratio, TimePoint now)
+{
+    m_slowness = slowness(now) * (1 - kSampleWeight) + std::clamp(ratio, kLeastRatio, kMostRatio) * kSampleWeight;
+    m_slownessAt = now;
+}
+
+void ServerQuality::onUnanswered(double ratio, TimePoint now)
+{
+    // A lower bound below the present figure says nothing.
+    if (ratio > slowness(now))
+        onDuration(ratio, now);
+}
+
+void ServerQuality::onOutcome(bool good, TimePoint now)
+{
+    m_failures = failureRate(now) * (1 - kSampleWeight) + (good ? 0 : kSampleWeight);
+    m_failuresAt = now;
+}
+
+double ServerQuality::slowness(TimePoint now) const
+{
+    return 1 + (m_slowness - 1) * fade(m_slownessAt, now);
+}
+
+double ServerQuality::failureRate(TimePoint now) const
+{
+    return m_failures * fade(m_failuresAt, now);
+}
+
+} // namespace curranttrail::routing
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -133,6 +133,7 @@
     const double slots = std::max(1U, server.record.slots);
     double ahead = server.ownWork();
     double factor = now < server.coldUntil ? kColdFactor : 1;
+    factor *= server.quality.slowness(now);
     if (server.loadAt != TimePoint::min() && now - server.loadAt < kLoadLifetime) {
         const Micros age = now - server.loadAt;
         const double trust = 1 - static_cast<double>(age.count()) / static_cast<double>(kLoadLifetime.count());
@@ -149,6 +150,7 @@
         if (now - oldest > estimate.pauseBound && server.lastReply < oldest + estimate.pauseBound)
             micros += kPauseMicros;
     }
+    micros += server.quality.failureRate(now) * static_cast<double>(estimate.failureCost.count());
     if (server.record.dataCentre != m_dataCentre)
         micros += kRemoteMicros;
     if (server.health.isSuspended(now) || now < server.connectNotBefore)
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -6,6 +6,7 @@
 #include "policy/connection_shares.h"
 #include "policy/server_health.h"
 #include "routing/messages.h"
+#include "routing/server_quality.h"
 
 #include <map>
 #include <memory>
@@ -22,6 +23,7 @@
 
     ServerRecord record;
     policy::ServerHealth health;
+    ServerQuality quality;
     // Set once the list no longer names it, or another incarnation answered at its address.
     bool gone = false;
     TimePoint coldUntil;
@@ -54,6 +56,8 @@
     Micros typical { 0 };
     // An unanswered attempt older than this marks its server as paused.
     Micros pauseBound { 0 };
+    // What a failed attempt costs: the time until its repeat, and a part of the budget of repeats.
+    Micros failureCost { 0 };
 };
 
 // The servers of all collections, with what this instance observed of each.
