--- a/policy/connection_shares.cpp
+++ b/policy/connection_shares.cpp
@@ -15,6 +15,8 @@
     // A fifth of each limit stays free for instances that the others do not know yet; two may join at once.
     constexpr std::uint32_t kReserveDivisor = 5;
     constexpr std::uint32_t kJoinersAtOnce = 2;
+    // The instances that a new one assumes until it has a complete view.
+    constexpr std::uint32_t kAssumedInstances = 8;
 
     // All instances must rank alike whatever their build, so the hash is a published one.
     std::uint64_t rank(std::string_view server, const InstanceName& instance)
@@ -50,6 +52,15 @@
     return m_views.empty() ? 1 : static_cast<std::uint32_t>(m_views.back().instances.size());
 }
 
+std::uint32_t ConnectionShares::largestInstanceCount(TimePoint now) const
+{
+    std::size_t most = 1;
+    for (const View& view : m_views)
+        most = std::max(most, view.instances.size());
+    const bool joining = m_views.empty() || (m_joinedAt != kNever && now - m_joinedAt < kGrace);
+    return std::max(static_cast<std::uint32_t>(most), joining ? kAssumedInstances : 1U);
+}
+
 bool ConnectionShares::expire(TimePoint now)
 {
     bool changed = false;
--- a/policy/connection_shares.h
+++ b/policy/connection_shares.h
@@ -20,6 +20,8 @@
     // Forgets views older than the grace period. Returns whether a share may have grown.
     bool expire(TimePoint now);
     std::uint32_t instanceCount() const;
+    // Returns the most instances in any view of the grace period; a new instance assumes more until it has seen one such period.
+    std::uint32_t largestInstanceCount(TimePoint now) const;
 
     // Returns one instance's part of a limit under one view. Remainders go to the instances that rank highest for the server.
     static std::uint32_t divide(std::string_view server, std::uint32_t limit, const InstanceName& self, const std::vector<InstanceName>& instances);
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -2,6 +2,7 @@
 
 #include "routing/events.h"
 
+#include <boost/random/uniform_int_distribution.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -23,6 +24,10 @@
     constexpr Micros kSweepInterval { 100'000 };
     // After a connection could not be opened, the next try waits this long.
     constexpr Micros kReconnectPause { 200'000 };
+    // An unused connection that ends this soon was turned away; others try at other times.
+    constexpr Micros kRejectedWithin { 500'000 };
+    constexpr Micros kLeastRejectedPause { 1'000'000 };
+    constexpr Micros kMostRejectedPause { 4'000'000 };
     constexpr Micros kConnectLimit { 1'000'000 };
     // A given-up attempt keeps its connection this long for the reply; then the connection is closed.
     constexpr Micros kGivenUpLimit { 250'000 };
@@ -172,7 +177,15 @@
     }
     Server& server = *it->second.server;
     const bool opening = !it->second.open;
+    // A server that is at its limit accepts a connection and resets it at once.
+    const bool rejected = !opening && !it->second.used && m_now - it->second.since < kRejectedWithin;
     dropConnection(event.connection);
+    if (rejected) {
+        boost::random::uniform_int_distribution<Micros::rep> pause(kLeastRejectedPause.count(), kMostRejectedPause.count());
+        server.connectNotBefore = m_now + Micros { pause(m_random) };
+        if (server.connections == 0)
+            failWaiting(server);
+    }
     if (!opening)
         return;
     server.connectNotBefore = m_now + kReconnectPause;
@@ -212,7 +225,7 @@
 {
     if (!m_servers.setInstances(event.instances, m_now))
         return;
-    log(events::kInstancesChanged, { { "instances", fmt::to_string(m_servers.instanceCount()) } });
+    log(events::kInstancesChanged, { { "instances", fmt::to_string(m_servers.instanceCount(m_now)) } });
     updateShares();
 }
 
@@ -222,7 +235,7 @@
         return;
     m_servers.updateAllowances(m_table->document().collections, m_now);
     for (auto& [collection, budget] : m_budgets)
-        budget.configure(m_options.repeatRatio, m_options.repeatAllowance, m_servers.instanceCount());
+        budget.configure(m_options.repeatRatio, m_options.repeatAllowance, m_servers.instanceCount(m_now));
 }
 
 void Router::runTimers()
--- a/routing/router.h
+++ b/routing/router.h
@@ -128,6 +128,7 @@
         bool open = false;
         std::optional<AttemptId> attempt;
         TimePoint since;
+        bool used = false;
     };
 
     struct Check {
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -29,7 +29,7 @@
 {
     const auto [it, created] = m_budgets.try_emplace(collection);
     if (created)
-        it->second.configure(m_options.repeatRatio, m_options.repeatAllowance, m_servers.instanceCount());
+        it->second.configure(m_options.repeatRatio, m_options.repeatAllowance, m_servers.instanceCount(m_now));
     return it->second;
 }
 
@@ -80,7 +80,9 @@
     Part& part = request.parts[attempt.part];
     attempt.connection = connection;
     attempt.sentAt = m_now;
-    m_connections.at(connection).attempt = id;
+    Connection& used = m_connections.at(connection);
+    used.attempt = id;
+    used.used = true;
     attempt.server->unanswered.emplace(id, m_now);
     ++m_counters.attempts;
     if (++part.sent == 1)
@@ -92,7 +94,7 @@
 void Router::openConnection(Server& server)
 {
     const ConnectionId id { ++m_lastConnection };
-    m_connections[id] = { &server, false, std::nullopt, m_now };
+    m_connections[id] = { &server, false, std::nullopt, m_now, false };
     ++server.connections;
     ++server.opening;
     ++m_counters.connectionsOpened;
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -12,6 +12,8 @@
 namespace {
     // More connections than this to one server only move its queue to the server.
     constexpr std::uint32_t kMostConnections = 6;
+    // The rest of a server's connections is for instances that are not known yet and for its other callers.
+    constexpr double kUsedShareOfLimit = 0.85;
     // A reported load says nothing any more after this time.
     constexpr Micros kLoadLifetime { 150'000 };
     // The usual time to open a connection; it is what a request without an idle connection pays more.
@@ -96,22 +98,35 @@
     }
 }
 
+// While a whole connection to each server falls to every instance, all servers are used. Beyond that each instance uses as many
+// servers of the collection as the limits allow, chosen by a hash so that few connections move when instances or servers change.
 void ServerTable::updateAllowance(const CollectionSpec* spec, const std::vector<Server*>& servers, TimePoint now)
 {
-    Server* fallback = nullptr;
-    std::uint32_t most = 0;
+    std::vector<Server*> usable;
     for (Server* server : servers) {
-        server->allowance = spec ? std::min(m_shares.share(server->record.instance, spec->connectionLimit, now), kMostConnections) : 0;
-        if (!server->takesWork())
-            continue;
-        most = std::max(most, server->allowance);
-        // If no share reaches a whole connection, the instances spread over the servers by this hash.
-        const auto rankOf = [this](const Server* candidate) { return std::hash<std::string> {}(m_self + '/' + candidate->record.instance); };
-        if (!fallback || rankOf(server) < rankOf(fallback))
-            fallback = server;
+        server->allowance = 0;
+        if (spec && server->takesWork())
+            usable.push_back(server);
+    }
+    if (usable.empty())
+        return;
+    const double limit = spec->connectionLimit * kUsedShareOfLimit;
+    const double instances = m_shares.largestInstanceCount(now);
+    if (limit >= instances) {
+        for (Server* server : usable)
+            server->allowance = std::min(static_cast<std::uint32_t>(limit / instances), kMostConnections);
+        return;
     }
-    if (spec && most == 0 && fallback)
-        fallback->allowance = 1;
+    const std::size_t count = std::clamp<std::size_t>(static_cast<std::size_t>(limit * static_cast<double>(usable.size()) / instances), 1, usable.size());
+    std::partial_sort(usable.begin(), usable.begin() + static_cast<std::ptrdiff_t>(count), usable.end(),
+        [this](const Server* a, const Server* b) { return rankOf(*a) < rankOf(*b); });
+    for (std::size_t n = 0; n < count; ++n)
+        usable[n]->allowance = 1;
+}
+
+std::size_t ServerTable::rankOf(const Server& server) const
+{
+    return std::hash<std::string> {}(m_self + '/' + server.record.instance);
 }
 
 Server* ServerTable::find(const std::string& instance)
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -76,7 +76,8 @@
     // Computes anew how many connections to each server this instance may hold.
     void updateAllowances(const std::map<CollectionName, CollectionSpec>& specs, TimePoint now);
     bool expireShares(TimePoint now) { return m_shares.expire(now); }
-    std::uint32_t instanceCount() const { return m_shares.instanceCount(); }
+    // The most instances of the last seconds, so that a view that is incomplete for a moment does not widen any share.
+    std::uint32_t instanceCount(TimePoint now) const { return m_shares.largestInstanceCount(now); }
 
     Server* find(const std::string& instance);
     const std::vector<Server*>& of(const CollectionName& collection) const;
@@ -90,6 +91,7 @@
     const std::unordered_map<std::string, std::unique_ptr<Server>>& all() const { return m_servers; }
 
 private:
+    std::size_t rankOf(const Server& server) const;
     double cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const;
     void updateAllowance(const CollectionSpec* spec, const std::vector<Server*>& servers, TimePoint now);
 
