--- a/routing/record_merge.cpp
+++ b/routing/record_merge.cpp
@@ -1,6 +1,7 @@
 #include "routing/record_merge.h"
 
 #include <algorithm>
+#include <cstring>
 #include <functional>
 
 namespace curranttrail::routing {
@@ -13,9 +14,10 @@
 void RecordMerge::add(std::string_view part)
 {
     for (; part.size() >= kRecordBytes; part.remove_prefix(kRecordBytes)) {
-        const std::string_view record = part.substr(0, kRecordBytes);
+        std::array<unsigned char, kRecordBytes> record {};
+        std::memcpy(record.data(), part.data(), kRecordBytes);
         if (m_records.size() < m_recordsKept) {
-            m_records.emplace_back(record);
+            m_records.push_back(record);
             std::push_heap(m_records.begin(), m_records.end(), std::greater<> {});
             continue;
         }
@@ -32,8 +34,8 @@
     std::sort(m_records.begin(), m_records.end(), std::greater<> {});
     std::string body;
     body.reserve(m_records.size() * kRecordBytes);
-    for (const std::string& record : m_records)
-        body += record;
+    for (const std::array<unsigned char, kRecordBytes>& record : m_records)
+        body.append(reinterpret_cast<const char*>(record.data()), record.size());
     m_records.clear();
     return body;
 }
--- a/routing/record_merge.h
+++ b/routing/record_merge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <string>
 #include <string_view>
@@ -22,7 +23,7 @@
 private:
     const std::size_t m_recordsKept;
     // A heap with the least kept record at the front.
-    std::vector<std::string> m_records;
+    std::vector<std::array<unsigned char, kRecordBytes>> m_records;
 };
 
 } // namespace curranttrail::routing
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -88,6 +88,7 @@
     const Micros patience = event.patience.value_or(route->timeout);
     request.hardDeadline = m_now + std::min(route->timeout, patience) - kAnswerMargin;
     request.softDeadline = m_now + route->aim - std::max(kLeastAimMargin, route->aim / kAimMarginDivisor);
+    planHedge(request);
     if (const ScatterTarget* scatter = std::get_if<ScatterTarget>(&route->target))
         request.merge.emplace(scatter->recordsKept);
     for (CollectionName& collection : collectionsOf(*route)) {
--- a/routing/router.h
+++ b/routing/router.h
@@ -100,6 +100,10 @@
         // From here on an answer that covers enough is not held back for more parts.
         TimePoint softDeadline;
         TimePoint hardDeadline;
+        // When parts without an answer are hedged, never once that is done.
+        TimePoint hedgeAt = kNever;
+        // The next time at which the request is looked at.
+        TimePoint checkAt;
         std::vector<Part> parts;
         std::size_t done = 0;
         std::size_t failed = 0;
@@ -182,6 +186,7 @@
 
     // router_requests.cpp: the course and the end of a request
     void check(RequestKey key);
+    void planHedge(Request& request);
     void hedge(RequestKey key, Request& request);
     TimePoint nextCheck(const Request& request) const;
     bool coversEnough(const Request& request, std::size_t parts) const;
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -273,7 +273,8 @@
     part.stamp = reply.stamp;
     request.merge->add(reply.body);
     // Twins of a part that is complete are given up here, so that their connections are freed in time.
-    for (const AttemptId id : request.attempts) {
+    for (std::size_t n = 0; part.inFlight > 0 && n < request.attempts.size(); ++n) {
+        const AttemptId id = request.attempts[n];
         const auto twin = m_attempts.find(id);
         if (twin != m_attempts.end() && !twin->second.givenUp && &request.parts[twin->second.part] == &part) {
             --part.inFlight;
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -46,6 +46,12 @@
     return parts > 0 && static_cast<double>(parts) >= scatter->minimumCoverage * static_cast<double>(request.parts.size()) - 1e-9;
 }
 
+// Sets when the parts that are still open are hedged. Requests that may run only once are never hedged.
+void Router::planHedge(Request& request)
+{
+    request.hedgeAt = request.route->repeatable ? request.arrivedAt + hedgeDelay(*request.route, request.work->hedgeDelay) : kNever;
+}
+
 // Decides whether a request ends now, hedges what is late, and sets the next time to look.
 void Router::check(RequestKey key)
 {
@@ -70,18 +76,21 @@
         refuse(key, RefusalReason::TimedOut);
         return;
     }
-    hedge(key, request);
-    m_checks.push({ nextCheck(request), key });
+    if (m_now >= request.hedgeAt)
+        hedge(key, request);
+    const TimePoint next = nextCheck(request);
+    if (request.checkAt > m_now && request.checkAt <= next)
+        return;
+    request.checkAt = next;
+    m_checks.push({ next, key });
 }
 
 void Router::hedge(RequestKey key, Request& request)
 {
-    if (!request.route->repeatable)
-        return;
-    const Micros delay = hedgeDelay(*request.route, request.work->hedgeDelay);
+    request.hedgeAt = kNever;
     for (std::size_t n = 0; n < request.parts.size(); ++n) {
         const Part& part = request.parts[n];
-        if (part.state != PartState::Open || part.inFlight != 1 || part.tried.size() != 1 || m_now - part.startedAt < delay)
+        if (part.state != PartState::Open || part.inFlight != 1 || part.tried.size() != 1)
             continue;
         if (part.sent == 0)
             moveWaiting(key, request, n);
@@ -95,10 +104,7 @@
     TimePoint next = request.hardDeadline;
     if (isScatter(request) && request.softDeadline > m_now)
         next = std::min(next, request.softDeadline);
-    const TimePoint hedgeAt = request.arrivedAt + hedgeDelay(*request.route, request.work->hedgeDelay);
-    if (request.route->repeatable && hedgeAt > m_now)
-        next = std::min(next, hedgeAt);
-    return next;
+    return std::min(next, request.hedgeAt);
 }
 
 void Router::answerMerged(RequestKey key, Request& request)
--- a/transport/http_message.cpp
+++ b/transport/http_message.cpp
@@ -1,17 +1,22 @@
 #include "transport/http_message.h"
 
-#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/ip/address_v4.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/json.hpp>
 
 #include <charconv>
 
 namespace curranttrail::transport {
 
+bool sameFieldName(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size() && boost::beast::iequals({ a.data(), a.size() }, { b.data(), b.size() });
+}
+
 std::optional<std::string_view> findField(const HttpFields& fields, std::string_view name)
 {
     for (const auto& [key, value] : fields) {
-        if (boost::algorithm::iequals(key, name))
+        if (sameFieldName(key, name))
             return value;
     }
     return std::nullopt;
--- a/transport/http_message.h
+++ b/transport/http_message.h
@@ -13,6 +13,9 @@
 // Header fields in the order of the message. Names are compared without regard to case.
 using HttpFields = std::vector<std::pair<std::string, std::string>>;
 
+// Compares names of fields without regard to the case of ASCII letters.
+bool sameFieldName(std::string_view a, std::string_view b);
+
 // Returns the first field with the name, or nothing.
 std::optional<std::string_view> findField(const HttpFields& fields, std::string_view name);
 
--- a/transport/raw_http.cpp
+++ b/transport/raw_http.cpp
@@ -14,11 +14,6 @@
 
     constexpr std::array<std::string_view, 9> kHopFields { "connection", "keep-alive", "proxy-connection", "proxy-authenticate", "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade" };
 
-    bool sameName(std::string_view a, std::string_view b)
-    {
-        return boost::beast::iequals({ a.data(), a.size() }, { b.data(), b.size() });
-    }
-
     bool lists(std::string_view value, std::string_view name)
     {
         while (!value.empty()) {
@@ -28,7 +23,7 @@
                 item.remove_prefix(1);
             while (!item.empty() && (item.back() == ' ' || item.back() == '\t'))
                 item.remove_suffix(1);
-            if (sameName(item, name))
+            if (sameFieldName(item, name))
                 return true;
             value.remove_prefix(std::min(comma + 1, value.size()));
         }
@@ -55,7 +50,7 @@
 
 bool isHopField(std::string_view name, const HttpFields& fields)
 {
-    if (std::any_of(kHopFields.begin(), kHopFields.end(), [name](std::string_view hop) { return sameName(hop, name); }))
+    if (std::any_of(kHopFields.begin(), kHopFields.end(), [name](std::string_view hop) { return sameFieldName(hop, name); }))
         return true;
     const std::optional<std::string_view> connection = findField(fields, "Connection");
     return connection && lists(*connection, name);
--- a/transport/raw_http_client.cpp
+++ b/transport/raw_http_client.cpp
@@ -83,6 +83,15 @@
         link->expectsBody = expectsBody;
         link->output = std::move(text);
         prepareParser(*link);
+        // A request usually fits into the socket's buffer; writing it here saves a turn of the loop.
+        error_code ec;
+        const std::size_t size = link->socket.write_some(asio::buffer(link->output), ec);
+        if (!ec && size == link->output.size()) {
+            link->writing = false;
+            link->output.clear();
+            return;
+        }
+        link->output.erase(0, ec ? 0 : size);
         asio::async_write(link->socket, asio::buffer(link->output), [self = shared_from_this(), link](const error_code& ec, std::size_t) {
             link->writing = false;
             link->output = {};
--- a/transport/raw_http_server.cpp
+++ b/transport/raw_http_server.cpp
@@ -266,22 +266,33 @@
     {
         session->state = State::Writing;
         session->output = std::move(text);
-        asio::async_write(session->socket, asio::buffer(session->output), [self = shared_from_this(), session](const error_code& ec, std::size_t) {
-            if (session->state == State::Closed)
-                return;
-            if (ec || session->closeAfter) {
-                error_code ignored;
-                session->socket.shutdown(Tcp::socket::shutdown_send, ignored);
-                self->close(session);
-                return;
-            }
-            session->state = State::Reading;
-            session->since = Clock::now();
-            session->output.clear();
-            if (!session->pending.empty())
-                self->parse(session);
-            self->waitForBytes(session);
-        });
+        // An answer usually fits into the socket's buffer; writing it here saves a turn of the loop.
+        error_code ec;
+        const std::size_t size = session->socket.write_some(asio::buffer(session->output), ec);
+        if (!ec && size == session->output.size() && session->pending.empty()) {
+            written(session, {});
+            return;
+        }
+        session->output.erase(0, ec ? 0 : size);
+        asio::async_write(session->socket, asio::buffer(session->output), [self = shared_from_this(), session](const error_code& ec, std::size_t) { self->written(session, ec); });
+    }
+
+    void written(const std::shared_ptr<Session>& session, const error_code& ec)
+    {
+        if (session->state == State::Closed)
+            return;
+        if (ec || session->closeAfter) {
+            error_code ignored;
+            session->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+            close(session);
+            return;
+        }
+        session->state = State::Reading;
+        session->since = Clock::now();
+        session->output.clear();
+        if (!session->pending.empty())
+            parse(session);
+        waitForBytes(session);
     }
 
     void close(const std::shared_ptr<Session>& session)
