--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -284,7 +284,7 @@
         return;
     std::size_t opened = 0;
     for (const auto& [instance, server] : m_servers.all()) {
-        if (server->connections > 0 || !server->canOpen(m_now) || server->health.isSuspended(m_now))
+        if (!server->preferred || server->connections > 0 || !server->canOpen(m_now) || server->health.isSuspended(m_now))
             continue;
         if (!m_table->document().collections.contains(server->record.collection))
             continue;
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -105,6 +105,7 @@
     std::vector<Server*> usable;
     for (Server* server : servers) {
         server->allowance = 0;
+        server->preferred = false;
         if (spec && server->takesWork())
             usable.push_back(server);
     }
@@ -113,8 +114,10 @@
     const double limit = spec->connectionLimit * kUsedShareOfLimit;
     const double instances = m_shares.largestInstanceCount(now);
     if (limit >= instances) {
-        for (Server* server : usable)
+        for (Server* server : usable) {
             server->allowance = std::min(static_cast<std::uint32_t>(limit / instances), kMostConnections);
+            server->preferred = true;
+        }
         return;
     }
     const std::size_t count = std::clamp<std::size_t>(static_cast<std::size_t>(limit * static_cast<double>(usable.size()) / instances), 1, usable.size());
@@ -122,6 +125,8 @@
         [this](const Server* a, const Server* b) { return rankOf(*a) < rankOf(*b); });
     for (std::size_t n = 0; n < count; ++n)
         usable[n]->allowance = 1;
+    // With so many instances each sends little; one server is used often enough for its connection not to idle out.
+    usable.front()->preferred = true;
 }
 
 std::size_t ServerTable::rankOf(const Server& server) const
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -43,6 +43,8 @@
     TimePoint connectNotBefore = TimePoint::min();
     // The connections that this instance may hold.
     std::uint32_t allowance = 1;
+    // Whether a connection is kept open ahead of need.
+    bool preferred = false;
 
     bool takesWork() const { return !gone && !record.leaving; }
     bool canSendAtOnce() const { return !idle.empty(); }
