--- /dev/null
+++ b/tests/platform/decode_test.cpp
@@ -0,0 +1,112 @@
+#include "platform/http_fields.h"
+#include "platform/http_names.h"
+#include "platform/route_document_json.h"
+#include "platform/server_list_json.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace curranttrail;
+using namespace curranttrail::platform;
+
+namespace {
+
+constexpr const char* kDocument = R"({"version":7,"routes":[
+ {"name":"r1","host":"h","pathPrefix":"/a/","kind":"safe","timeoutMs":600,"sloMs":100,"priority":1,"gather":["s1","s2"],"maxAttempts":2,"topK":20,"minCoverage":0.89},
+ {"name":"r2","host":"h","pathPrefix":"/b/","kind":"unsafe","timeoutMs":2000,"service":"s1"},
+ {"name":"r3","host":"h","pathPrefix":"/c/","kind":"safe","timeoutMs":2000,"split":[{"service":"s1","weight":1},{"service":"s2","weight":3}]}],
+ "services":[{"name":"s1","healthPath":"/health","maxConns":25},{"name":"s2","maxConns":9}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"later":{"x":1}})";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Decoding)
+
+// Guards against fields that land in the wrong place, and against a document with fields that are not known yet being refused.
+BOOST_AUTO_TEST_CASE(ADocumentIsDecodedWhole)
+{
+    const std::variant<routing::RouteDocument, DecodeError> decoded = decodeRouteDocument(kDocument);
+    BOOST_REQUIRE(std::holds_alternative<routing::RouteDocument>(decoded));
+    const routing::RouteDocument& document = std::get<routing::RouteDocument>(decoded);
+    BOOST_TEST(document.version == 7u);
+    BOOST_REQUIRE(document.routes.size() == 3u);
+    const routing::ScatterTarget& scatter = std::get<routing::ScatterTarget>(document.routes[0].target);
+    BOOST_TEST(scatter.shards.size() == 2u);
+    BOOST_TEST(scatter.recordsKept == 20u);
+    BOOST_TEST(scatter.minimumCoverage == 0.89);
+    BOOST_TEST(document.routes[0].repeatable);
+    BOOST_TEST((document.routes[0].aim == std::chrono::milliseconds { 100 }));
+    BOOST_TEST(!document.routes[1].repeatable);
+    BOOST_TEST((document.routes[1].aim == document.routes[1].timeout));
+    BOOST_TEST(std::get<routing::SplitTarget>(document.routes[2].target).parts[1].weight == 3.0);
+    BOOST_TEST(document.collections.at("s1").connectionLimit == 25u);
+    BOOST_TEST(document.limits.bodyBytes == 1'000u);
+    BOOST_TEST(routing::invalidReason(document).empty());
+}
+
+// Guards against a document that is cut short or has a wrong type being taken in part.
+BOOST_AUTO_TEST_CASE(ADocumentThatCannotBeReadInFullIsAnError)
+{
+    const std::string whole = kDocument;
+    for (std::size_t size = 0; size + 1 < whole.size(); size += 7)
+        BOOST_TEST(std::holds_alternative<DecodeError>(decodeRouteDocument(whole.substr(0, size))));
+    for (const char* text : { "[]", "{}", R"({"version":"7","routes":[],"services":[]})", R"({"version":-1,"routes":[],"services":[]})", R"({"version":1,"routes":{},"services":[]})",
+             R"({"version":1,"routes":[{"host":"h","pathPrefix":"/a/","kind":"safe","service":"s"}],"services":[]})",
+             R"({"version":1,"routes":[{"host":"h","pathPrefix":"/a/","kind":"safe","timeoutMs":"5","service":"s"}],"services":[]})" })
+        BOOST_TEST(std::holds_alternative<DecodeError>(decodeRouteDocument(text)));
+}
+
+// Guards against an unreadable entry that hides the others or names a server.
+BOOST_AUTO_TEST_CASE(AnUnreadableEntryNamesNoServer)
+{
+    const std::variant<ServerPage, DecodeError> decoded = decodeServerPage(R"({"instances":[
+        {"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":2,"state":"ready","coldLeftMs":1500,"id":"i1"},
+        {"service":"s","address":"10.0.0.2:80","zone":"z","slots":2,"state":"draining","id":"i2"},
+        {"service":"s","address":"10.0.0.3:80","state":"sleeping","id":"i3"},
+        {"service":5,"address":"10.0.0.4:80","state":"ready","id":"i4"},
+        {"service":"s","address":"nowhere","state":"ready","id":"i5"}, 17],"nextToken":null})");
+    BOOST_REQUIRE(std::holds_alternative<ServerPage>(decoded));
+    const ServerPage& page = std::get<ServerPage>(decoded);
+    BOOST_REQUIRE(page.servers.size() == 2u);
+    BOOST_TEST((page.servers[0].coldFor == std::chrono::milliseconds { 1'500 }));
+    BOOST_TEST(page.servers[1].leaving);
+    BOOST_TEST(page.unreadable == 4u);
+    BOOST_TEST(!page.nextToken);
+    BOOST_TEST(std::holds_alternative<DecodeError>(decodeServerPage("{\"instances\":")));
+    BOOST_TEST(serverPagePath("t") == "/instances?pageToken=t");
+}
+
+// Guards against header fields that concern one connection, or that are set anew, reaching the other side.
+BOOST_AUTO_TEST_CASE(FieldsOfOneConnectionAreNotPassedOn)
+{
+    const transport::HttpFields fields { { "Host", "h:80" }, { "X-Curranttrail-Request-Id", "id1" }, { "X-Curranttrail-Deadline-Ms", "500" }, { "Connection", "keep-alive, X-Mine" },
+        { "X-Mine", "1" }, { "Content-Length", "3" }, { "Transfer-Encoding", "chunked" }, { "X-Curranttrail-Expect-Instance", "forged" }, { "Accept", "a" } };
+    const CallerFields caller = decodeCaller(fields);
+    BOOST_TEST(caller.requestId == "id1");
+    BOOST_TEST((caller.patience == Micros { 500'000 }));
+    transport::HttpFields forwarded = forwardedFields(fields);
+    addAttemptFields(forwarded, Micros { 321'900 }, "i1");
+    BOOST_TEST(forwarded.size() == 5u);
+    BOOST_TEST(*transport::findField(forwarded, kPatienceField) == "321");
+    BOOST_TEST(*transport::findField(forwarded, kExpectedInstanceField) == "i1");
+}
+
+// Guards against a load figure that is misread, and against loads that are not there.
+BOOST_AUTO_TEST_CASE(ReplyHeadsAreDecoded)
+{
+    transport::RawReply reply { 200, { { "X-Curranttrail-Server-Load", "1, 4,2,250" }, { "X-Curranttrail-Server-Stamp", "s" }, { "Content-Encoding", "gzip" } }, {} };
+    routing::ReplyHead head = decodeReplyHead(reply);
+    BOOST_REQUIRE(head.load.has_value());
+    BOOST_TEST(head.load->waiting == 4u);
+    BOOST_TEST(head.load->slowdown == 2.5);
+    BOOST_TEST(head.encoded);
+    BOOST_TEST(!head.notExecuted);
+    for (const char* text : { "", "1,2", "a,b,c", "1,2,3,x" }) {
+        reply.fields[0].second = text;
+        BOOST_TEST(!decodeReplyHead(reply).load.has_value());
+    }
+    const transport::HttpFields merged = mergedFields({ "a", "b" }, 1);
+    BOOST_TEST(*transport::findField(merged, kPartStampsField) == "a, b");
+    BOOST_TEST(*transport::findField(merged, kMissingPartsField) == "1");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/load_patterns_test.cpp
@@ -0,0 +1,160 @@
+#include "tests/routing/router_harness.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace curranttrail;
+using namespace curranttrail::routing;
+
+namespace {
+
+// Runs queries one after the other, answering each attempt by a rule, and counts first attempts by server.
+template <typename Rule>
+std::map<std::string, int> firstAttempts(RouterHarness& harness, int queries, Rule rule)
+{
+    std::map<std::string, int> counts;
+    for (int n = 0; n < queries; ++n) {
+        harness.arrive("/search/x");
+        for (const SendAttempt& send : harness.takeSent()) {
+            ++counts[send.instance];
+            rule(send);
+        }
+        while (!harness.sent.empty()) {
+            for (const SendAttempt& send : harness.takeSent())
+                rule(send);
+        }
+        harness.advance(milliseconds { 10 });
+        for (const SendAttempt& send : harness.takeSent())
+            rule(send);
+    }
+    return counts;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(LoadPatterns)
+
+// Pattern: one server of each shard rejects part of its work while its health is good. Guards against its keeping its share of
+// first attempts, which uses up the budget of repeats.
+BOOST_AUTO_TEST_CASE(RejectingServersLoseFirstAttempts)
+{
+    RouterHarness harness;
+    harness.serve(4, 0.75);
+    int turn = 0;
+    const auto rule = [&](const SendAttempt& send) {
+        if (send.instance.ends_with("a") && ++turn % 5 < 2)
+            harness.reply(send, RouterHarness::failure(ReplyKind::NotExecuted, 503));
+        else
+            harness.reply(send, RouterHarness::success(send.instance));
+    };
+    firstAttempts(harness, 30, rule);
+    const std::map<std::string, int> counts = firstAttempts(harness, 200, rule);
+    int rejecting = 0;
+    int total = 0;
+    for (const auto& [server, count] : counts) {
+        total += count;
+        rejecting += server.ends_with("a") ? count : 0;
+    }
+    BOOST_TEST(rejecting * 4 < total);
+}
+
+// Pattern: one server of each shard is many times slower. Guards against its keeping its share of first attempts.
+BOOST_AUTO_TEST_CASE(SlowServersLoseFirstAttempts)
+{
+    RouterHarness harness;
+    harness.serve(4, 0.75);
+    std::map<std::string, int> counts;
+    for (int n = 0; n < 300; ++n) {
+        harness.arrive("/search/x");
+        const std::vector<SendAttempt> first = harness.takeSent();
+        harness.advance(milliseconds { 8 });
+        for (const SendAttempt& send : first) {
+            if (n >= 60)
+                ++counts[send.instance];
+            if (send.instance.ends_with("b"))
+                harness.reply(send, RouterHarness::success(send.instance));
+        }
+        harness.advance(milliseconds { 60 });
+        for (const SendAttempt& send : first) {
+            if (send.instance.ends_with("a"))
+                harness.reply(send, RouterHarness::success(send.instance));
+        }
+        for (const SendAttempt& send : harness.takeSent())
+            harness.reply(send, RouterHarness::success(send.instance));
+        harness.advance(milliseconds { 20 });
+    }
+    int slow = 0;
+    int total = 0;
+    for (const auto& [server, count] : counts) {
+        total += count;
+        slow += server.ends_with("a") ? count : 0;
+    }
+    BOOST_TEST(slow * 4 < total);
+}
+
+// Pattern: all servers of all shards are late. Guards against hedges that multiply the load beyond the shared budget.
+BOOST_AUTO_TEST_CASE(RepeatsStayWithinTheSharedBudget)
+{
+    constexpr double kAllowance = 52;
+    RouterHarness harness(kAllowance);
+    harness.serve(1, 1.0);
+    constexpr int kRequests = 400;
+    std::size_t sent = 0;
+    for (int n = 0; n < kRequests; ++n) {
+        harness.arrive("/search/x");
+        harness.advance(milliseconds { 50 });
+        const std::vector<SendAttempt> attempts = harness.takeSent();
+        sent += attempts.size();
+        for (const SendAttempt& send : attempts)
+            harness.reply(send, RouterHarness::failure(ReplyKind::Unusable, 200));
+        for (const SendAttempt& send : harness.takeSent()) {
+            ++sent;
+            harness.reply(send, RouterHarness::success("late"));
+        }
+    }
+    BOOST_TEST(static_cast<double>(sent) <= kRequests * 1.2 + kAllowance);
+}
+
+// Pattern: more instances than a server takes connections. Guards against connections beyond a server's limit and against
+// instances that reach no server of a shard.
+BOOST_AUTO_TEST_CASE(ConnectionsStayWithinTheLimitsOfTheServers)
+{
+    constexpr int kInstances = 74;
+    constexpr std::uint32_t kLimit = 59;
+    std::vector<InstanceName> names;
+    for (int n = 0; n < kInstances; ++n)
+        names.push_back(fmt::format("gateway-{}", n));
+    std::map<CollectionName, CollectionSpec> specs;
+    ServerList list;
+    for (int shard = 0; shard < 30; ++shard) {
+        const CollectionName name = fmt::format("shard{}", shard);
+        specs[name] = { name, kLimit };
+        for (int replica = 0; replica < 3; ++replica)
+            list.push_back({ fmt::format("i-{}-{}", shard, replica), name, "10.0.0.1:80", "dc-a", 2, false, Micros { 0 } });
+    }
+    std::map<std::string, std::uint32_t> connections;
+    for (const InstanceName& name : names) {
+        TimePoint now { Micros { 1'000'000 } };
+        ServerTable table("dc-a", name);
+        table.setInstances(names, now);
+        table.apply(list, Micros { 0 }, now);
+        now += Micros { 11'000'000 };
+        table.expireShares(now);
+        table.updateAllowances(specs, now);
+        for (const auto& [collection, spec] : specs) {
+            int reachable = 0;
+            for (const Server* server : table.of(collection)) {
+                connections[server->record.instance] += server->allowance;
+                reachable += server->allowance > 0 ? 1 : 0;
+            }
+            BOOST_TEST(reachable >= 1);
+        }
+    }
+    std::uint32_t most = 0;
+    for (const auto& [server, count] : connections)
+        most = std::max(most, count);
+    BOOST_TEST(most <= kLimit);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/route_document_test.cpp
@@ -0,0 +1,109 @@
+#include "routing/reply_class.h"
+#include "routing/route_document.h"
+#include "routing/server_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace curranttrail;
+using namespace curranttrail::routing;
+
+namespace {
+
+RouteDocument valid()
+{
+    RouteDocument document;
+    document.version = 3;
+    document.collections["a"] = { "a", 10 };
+    document.collections["b"] = { "b", 10 };
+    document.routes.push_back({ "r1", "host", "/x/", true, Micros { 1'000 }, Micros { 500 }, 0, 1, SingleTarget { "a" } });
+    document.routes.push_back({ "r2", "host", "/x/y/", true, Micros { 1'000 }, Micros { 500 }, 0, 1, SingleTarget { "b" } });
+    document.routes.push_back({ "r3", "other", "/", true, Micros { 1'000 }, Micros { 500 }, 0, 1, SingleTarget { "b" } });
+    return document;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RouteDocuments)
+
+// Guards against invalid documents in force, and against valid ones refused.
+BOOST_AUTO_TEST_CASE(InvalidDocumentsAreNamed)
+{
+    BOOST_TEST(invalidReason(valid()).empty());
+    RouteDocument document = valid();
+    document.routes[0].target = SingleTarget { "missing" };
+    BOOST_TEST(!invalidReason(document).empty());
+    document = valid();
+    document.routes[1].prefix = "/x/";
+    BOOST_TEST(!invalidReason(document).empty());
+    document = valid();
+    document.routes[0].timeout = Micros { 0 };
+    BOOST_TEST(!invalidReason(document).empty());
+    document = valid();
+    document.routes[0].target = SplitTarget { { { "a", 0 }, { "b", 0 } } };
+    BOOST_TEST(!invalidReason(document).empty());
+    document.routes[0].target = SplitTarget { { { "a", 0 }, { "b", 1 } } };
+    BOOST_TEST(invalidReason(document).empty());
+    document.routes[0].target = ScatterTarget { { "a", "a" }, 0.5, 3 };
+    BOOST_TEST(!invalidReason(document).empty());
+    document.routes[0].target = ScatterTarget { { "a", "missing" }, 0.5, 3 };
+    BOOST_TEST(!invalidReason(document).empty());
+}
+
+// Guards against a shorter prefix winning, a prefix that matches half a segment, and routes of another host.
+BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostWins)
+{
+    const RouteTable table(std::make_shared<const RouteDocument>(valid()));
+    BOOST_REQUIRE(table.find("host", "/x/y/z"));
+    BOOST_TEST(table.find("host", "/x/y/z")->name == "r2");
+    BOOST_TEST(table.find("host:8080", "/x/z")->name == "r1");
+    BOOST_TEST(table.find("host", "/x/yz")->name == "r1");
+    BOOST_TEST(!table.find("host", "/xy/"));
+    BOOST_TEST(!table.find("host", "x"));
+    BOOST_TEST(table.find("other", "/any")->name == "r3");
+    BOOST_TEST(!table.find("third", "/any"));
+}
+
+// Guards against taking a reply to an earlier request, an unsigned success or an encoded body for the answer.
+BOOST_AUTO_TEST_CASE(OnlyTheSignedReplyToThisRequestIsASuccess)
+{
+    ReplyHead head;
+    head.status = 200;
+    head.stamp = "signed";
+    head.requestId = "mine";
+    BOOST_TEST((classifyReply(head, "mine") == ReplyKind::Success));
+    BOOST_TEST((classifyReply(head, "other") == ReplyKind::Unusable));
+    head.encoded = true;
+    BOOST_TEST((classifyReply(head, "mine") == ReplyKind::Unusable));
+    head.encoded = false;
+    head.stamp.reset();
+    BOOST_TEST((classifyReply(head, "mine") == ReplyKind::Unusable));
+    head.status = 503;
+    BOOST_TEST((classifyReply(head, "mine") == ReplyKind::Unusable));
+    head.notExecuted = true;
+    BOOST_TEST((classifyReply(head, "mine") == ReplyKind::NotExecuted));
+    head.notExecuted = false;
+    head.status = 421;
+    BOOST_TEST((classifyReply(head, "mine") == ReplyKind::WrongInstance));
+    head.status = 500;
+    head.stamp = "signed";
+    BOOST_TEST((classifyReply(head, "mine") == ReplyKind::Failure));
+}
+
+// Guards against trust in an instance name that the list gives another address, and against servers that vanish from the list.
+BOOST_AUTO_TEST_CASE(AServerThatMovesOrVanishesGetsNoWork)
+{
+    ServerTable table("dc-a", "gateway");
+    const TimePoint now { Micros { 1'000'000 } };
+    ServerList list { { "i1", "a", "10.0.0.1:80", "dc-a", 2, false, Micros { 0 } }, { "i2", "a", "10.0.0.2:80", "dc-a", 2, false, Micros { 0 } } };
+    BOOST_TEST(table.apply(list, Micros { 0 }, now).appeared.size() == 2u);
+    list[0].address = "10.0.0.9:80";
+    BOOST_TEST(table.apply(list, Micros { 0 }, now).leaving.size() == 1u);
+    BOOST_TEST(!table.find("i1")->takesWork());
+    list.pop_back();
+    BOOST_TEST(table.apply(list, Micros { 0 }, now).leaving.size() == 1u);
+    BOOST_TEST(!table.hasUsable("a"));
+    table.forgetGone();
+    BOOST_TEST(table.all().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/routing/router_harness.h
@@ -0,0 +1,147 @@
+#pragma once
+
+#include "routing/router.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace curranttrail::routing {
+
+using std::chrono::milliseconds;
+
+// Drives a router in virtual time. Connections open at once unless the test holds them back; replies are given by the test.
+class RouterHarness {
+public:
+    explicit RouterHarness(double allowance = 1'000)
+        : router({ "gateway-1", "dc-a", 7, 0.2, allowance })
+    {
+        handle(InstancesKnown { { "gateway-1" } });
+        // The time in which a new instance assumes unknown others is over.
+        advance(milliseconds { 11'000 });
+    }
+
+    // Serves shards with two servers each, a collection "orders" of three, and routes to them.
+    void serve(std::size_t shards, double minimumCoverage = 0.75, std::uint64_t version = 1)
+    {
+        document = std::make_shared<RouteDocument>();
+        document->version = version;
+        ScatterTarget scatter { {}, minimumCoverage, 3 };
+        list.clear();
+        for (std::size_t n = 0; n < shards; ++n) {
+            scatter.shards.push_back(fmt::format("shard{}", n));
+            document->collections[scatter.shards.back()] = { scatter.shards.back(), 100 };
+            addServer(fmt::format("s{}a", n), scatter.shards.back());
+            addServer(fmt::format("s{}b", n), scatter.shards.back());
+        }
+        document->collections["orders"] = { "orders", 100 };
+        for (const char* name : { "o1", "o2", "o3" })
+            addServer(name, "orders");
+        document->routes.push_back({ "search", "site", "/search/", true, milliseconds { 600 }, milliseconds { 100 }, 1, 2, scatter });
+        document->routes.push_back({ "order", "site", "/order/", true, milliseconds { 2'000 }, milliseconds { 400 }, 2, 2, SingleTarget { "orders" } });
+        document->routes.push_back({ "book", "site", "/book/", false, milliseconds { 2'000 }, milliseconds { 400 }, 2, 2, SingleTarget { "orders" } });
+        handle(DocumentInForce { document });
+        publish();
+        for (int n = 0; n < 10; ++n)
+            advance(milliseconds { 100 });
+    }
+
+    void addServer(const std::string& instance, const CollectionName& collection)
+    {
+        list.push_back({ instance, collection, fmt::format("10.0.0.{}:80", list.size() + 1), "dc-a", 2, false, Micros { 0 } });
+    }
+
+    void publish() { handle(ServersListed { list, Micros { 0 } }); }
+
+    void handle(const Event& event)
+    {
+        for (Effect& effect : router.handle(event, now)) {
+            if (const OpenConnection* open = std::get_if<OpenConnection>(&effect)) {
+                ++opened;
+                if (openConnections)
+                    pending.push_back(open->connection);
+            }
+            if (const SendAttempt* send = std::get_if<SendAttempt>(&effect))
+                sent.push_back(*send);
+            else
+                effects.push_back(std::move(effect));
+        }
+        while (!pending.empty()) {
+            const ConnectionId next = pending.back();
+            pending.pop_back();
+            handle(ConnectionOpened { next });
+        }
+    }
+
+    void advance(Micros duration)
+    {
+        const TimePoint until = now + duration;
+        while (router.nextWakeup() <= until) {
+            now = std::max(now, router.nextWakeup());
+            handle(Tick {});
+        }
+        now = until;
+    }
+
+    RequestKey arrive(const std::string& path, std::optional<Micros> patience = std::nullopt)
+    {
+        const RequestKey key { ++lastKey };
+        handle(RequestArrived { key, fmt::format("id-{}", key.value), "site", path, patience });
+        return key;
+    }
+
+    // Removes and returns what was sent since the last call.
+    std::vector<SendAttempt> takeSent() { return std::exchange(sent, {}); }
+
+    static ServerReply success(const std::string& stamp, const std::string& body = "")
+    {
+        ServerReply reply;
+        reply.kind = ReplyKind::Success;
+        reply.status = 200;
+        reply.stamp = stamp;
+        reply.body = body;
+        return reply;
+    }
+
+    static ServerReply failure(ReplyKind kind, unsigned status)
+    {
+        ServerReply reply;
+        reply.kind = kind;
+        reply.status = status;
+        return reply;
+    }
+
+    void reply(const SendAttempt& send, ServerReply reply) { handle(AttemptReplied { send.attempt, std::move(reply) }); }
+
+    // Removes and returns the effects of one kind.
+    template <typename T>
+    std::vector<T> take()
+    {
+        std::vector<T> taken;
+        std::erase_if(effects, [&](const Effect& effect) {
+            const T* value = std::get_if<T>(&effect);
+            if (value)
+                taken.push_back(*value);
+            return value != nullptr;
+        });
+        return taken;
+    }
+
+    Router router;
+    TimePoint now { Micros { 1'000'000 } };
+    std::shared_ptr<RouteDocument> document;
+    ServerList list;
+    std::vector<Effect> effects;
+    std::vector<SendAttempt> sent;
+    std::vector<ConnectionId> pending;
+    bool openConnections = true;
+    std::size_t opened = 0;
+    std::uint64_t lastKey = 0;
+};
+
+} // namespace curranttrail::routing
