--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -90,15 +90,14 @@
         options.dataCentre = settings.dataCentre;
         std::random_device device;
         options.seed = (static_cast<std::uint64_t>(device()) << 32) | device();
-        options.repeatRatio = settings.repeatRatio;
-        options.repeatAllowance = settings.repeatAllowance;
+        options.repeats = settings.repeats;
         return options;
     }
 
     transport::RawHttpServer::Handlers callerHandlers()
     {
         transport::RawHttpServer::Handlers handlers;
-        handlers.request = [this](ExchangeId exchange, RawRequest request) { arrived(exchange, std::move(request)); };
+        handlers.request = [this](ExchangeId exchange, RawRequest request, transport::RawArrival arrival) { arrived(exchange, std::move(request), arrival); };
         handlers.gone = [this](ExchangeId exchange) {
             exchanges.erase(exchange.value);
             feedRouter(routing::RequestAbandoned { { exchange.value } });
@@ -109,7 +108,7 @@
     transport::RawHttpServer::Handlers readyHandlers()
     {
         transport::RawHttpServer::Handlers handlers;
-        handlers.request = [this](ExchangeId exchange, const RawRequest& request) {
+        handlers.request = [this](ExchangeId exchange, const RawRequest& request, transport::RawArrival) {
             RawReply reply;
             reply.status = request.path() != platform::kReadyPath ? 404 : (isReady() ? 200 : 503);
             ready.respond(exchange, reply);
@@ -121,7 +120,7 @@
     transport::RawHttpServer::Handlers metricsHandlers()
     {
         transport::RawHttpServer::Handlers handlers;
-        handlers.request = [this](ExchangeId exchange, const RawRequest&) {
+        handlers.request = [this](ExchangeId exchange, const RawRequest&, transport::RawArrival) {
             RawReply reply;
             reply.status = 200;
             reply.fields = { { "Content-Type", "text/plain; version=0.0.4" } };
@@ -160,10 +159,10 @@
         sink.log(now ? events::kReady : events::kNotReady, { { "version", fmt::to_string(router.documentVersion()) }, { "listed", listed ? "true" : "false" }, { "stopping", stopping ? "true" : "false" } });
     }
 
-    void arrived(ExchangeId exchange, RawRequest request)
+    void arrived(ExchangeId exchange, RawRequest request, transport::RawArrival arrival)
     {
         platform::CallerFields caller = platform::decodeCaller(request.fields);
-        routing::RequestArrived event { { exchange.value }, caller.requestId, std::move(caller.host), std::string { request.path() }, caller.patience };
+        routing::RequestArrived event { { exchange.value }, caller.requestId, std::move(caller.host), std::string { request.path() }, caller.patience, arrival.roundTrip, arrival.firstOnConnection };
         Exchange& entry = exchanges[exchange.value];
         entry.forwarded = platform::forwardedFields(request.fields);
         entry.requestId = std::move(caller.requestId);
--- a/main/gateway_settings.cpp
+++ b/main/gateway_settings.cpp
@@ -14,8 +14,9 @@
     settings.grace = root.duration("grace", settings.grace, Micros { 1'000'000 }, Micros { 600'000'000 });
     settings.contact = readGroupContact(root.table("group"));
     const SettingsTable repeats = root.table("repeats");
-    settings.repeatRatio = repeats.real("ratio", settings.repeatRatio, 0, 10);
-    settings.repeatAllowance = repeats.real("allowance", settings.repeatAllowance, 0, 1e6);
+    settings.repeats.ratio = repeats.real("ratio", settings.repeats.ratio, 0, 10);
+    settings.repeats.allowance = repeats.real("allowance", settings.repeats.allowance, 0, 1e6);
+    settings.repeats.window = repeats.duration("window", settings.repeats.window, Micros { 1'000'000 }, Micros { 600'000'000 });
     return settings;
 }
 
--- a/main/gateway_settings.h
+++ b/main/gateway_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "main/coordinator_settings.h"
+#include "policy/shared_budget.h"
 
 namespace curranttrail {
 
@@ -14,9 +15,8 @@
     transport::Endpoint ready { "127.0.0.1", 0 };
     transport::Endpoint metrics { "127.0.0.1", 0 };
     GroupContact contact;
-    // Repeats per first request that all instances together may add, and further ones in each window.
-    double repeatRatio = 0.2;
-    double repeatAllowance = 50;
+    // Repeats that all instances together may send to one collection.
+    policy::RepeatLimits repeats;
     // The time from the signal to stop to the forced end.
     Micros grace { 6'000'000 };
 };
--- a/policy/shared_budget.h
+++ b/policy/shared_budget.h
@@ -1,24 +1,38 @@
 #pragma once
 
+#include "core/units.h"
+
 #include <cstdint>
 
 namespace curranttrail::policy {
 
-// One instance's part of a budget of repeated requests that all instances share. Each first request earns a share of a
-// repeat; the part of the fixed allowance that falls to this instance bounds what can be saved up.
+// What all instances together may add to the first requests in any window of time.
+struct RepeatLimits {
+    // Repeats per first request.
+    double ratio = 0.2;
+    // Further repeats in each window.
+    double allowance = 50;
+    Micros window { 10'000'000 };
+};
+
+// One instance's part of a budget of repeated requests that all instances share. Each first request earns a share of a repeat,
+// and the part of the allowance that falls to this instance comes back over each window.
 class SharedBudget {
 public:
-    // The ratio is repeats per first request, the allowance the number of further repeats in each window for all instances.
-    void configure(double ratio, double allowance, std::uint32_t instances);
-    void onFirst();
-    bool canTake() const { return m_tokens >= 1; }
+    void configure(const RepeatLimits& limits, std::uint32_t instances, TimePoint now);
+    void onFirst(TimePoint now);
+    bool canTake(TimePoint now);
     // Takes the right to repeat once.
-    bool tryTake();
+    bool tryTake(TimePoint now);
 
 private:
+    void refill(TimePoint now);
+
     double m_earned = 0;
+    double m_perMicro = 0;
     double m_most = 0;
     double m_tokens = 0;
+    TimePoint m_refilledAt;
     bool m_configured = false;
 };
 
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -73,6 +73,10 @@
     std::string path;
     // How long the caller waits, if it said so.
     std::optional<Micros> patience;
+    // The round trip to the caller.
+    Micros roundTrip { 0 };
+    // The caller opened its connection for this request, which took it another round trip.
+    bool freshConnection = false;
 };
 
 // The caller closed its connection before the answer.
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -12,11 +12,16 @@
 namespace curranttrail::routing {
 
 namespace {
-    // The end of a request is decided this long before the caller stops waiting, so that the answer arrives in time.
-    constexpr Micros kAnswerMargin { 12'000 };
-    // An answer meets its aim if it leaves by the aim less this, or less a share of the aim.
-    constexpr Micros kLeastAimMargin { 8'000 };
-    constexpr int kAimMarginDivisor = 8;
+    // The time that an answer needs from its decision to the network, on top of the observed lag of this process.
+    constexpr Micros kProcessingMargin { 3'000 };
+    // At least this part of the aim is left for work that waits in this process ahead of a request and is not seen as lag.
+    constexpr int kAimMarginDivisor = 12;
+    // Further time before the caller stops waiting: a late answer helps, one after that does not.
+    constexpr Micros kDeadlineMargin { 8'000 };
+    // The share of the lag that each shorter observation takes off, and the multiple that is planned for: a request waits for its
+    // turn once when it comes and once when its answer is decided.
+    constexpr int kLagDivisor = 16;
+    constexpr int kPlannedLag = 2;
     // Bounds the memory that requests in flight take; more of them could not be answered within their aims.
     constexpr std::size_t kMostRequests = 800;
     // A request that comes before the routes are known may come back after this.
@@ -85,9 +90,12 @@
     request.route = route;
     request.work = &workOf(*route);
     request.arrivedAt = m_now;
+    // The caller's clock started a way earlier, or with its request to connect, and stops a way after the answer leaves.
+    const Micros onTheWay = event.roundTrip * (event.freshConnection ? 2 : 1);
+    const Micros processing = std::max(kProcessingMargin + m_lag * kPlannedLag, std::chrono::duration_cast<Micros>(route->aim / kAimMarginDivisor));
     const Micros patience = event.patience.value_or(route->timeout);
-    request.hardDeadline = m_now + std::min(route->timeout, patience) - kAnswerMargin;
-    request.softDeadline = m_now + route->aim - std::max(kLeastAimMargin, route->aim / kAimMarginDivisor);
+    request.hardDeadline = m_now + std::min(route->timeout, patience) - onTheWay - processing - kDeadlineMargin;
+    request.softDeadline = m_now + route->aim - onTheWay - processing;
     planHedge(request);
     if (const ScatterTarget* scatter = std::get_if<ScatterTarget>(&route->target))
         request.merge.emplace(scatter->recordsKept);
@@ -236,13 +244,14 @@
         return;
     m_servers.updateAllowances(m_table->document().collections, m_now);
     for (auto& [collection, budget] : m_budgets)
-        budget.configure(m_options.repeatRatio, m_options.repeatAllowance, m_servers.instanceCount(m_now));
+        budget.configure(m_options.repeats, m_servers.instanceCount(m_now), m_now);
 }
 
 void Router::runTimers()
 {
     while (!m_checks.empty() && m_checks.top().at <= m_now) {
         const RequestKey key = m_checks.top().request;
+        noteLag(std::chrono::duration_cast<Micros>(m_now - m_checks.top().at));
         m_checks.pop();
         check(key);
     }
@@ -250,6 +259,11 @@
         sweep();
 }
 
+void Router::noteLag(Micros lag)
+{
+    m_lag = lag > m_lag ? (lag + m_lag) / 2 : m_lag - m_lag / kLagDivisor;
+}
+
 void Router::sweep()
 {
     m_nextSweep = m_now + kSweepInterval;
--- a/routing/router.h
+++ b/routing/router.h
@@ -25,10 +25,8 @@
     InstanceName name;
     DataCentreName dataCentre;
     std::uint64_t seed = 0;
-    // Repeats that all instances together may add per first request to a collection.
-    double repeatRatio = 0.2;
-    // Repeats in each window beyond the ratio, for all instances together.
-    double repeatAllowance = 50;
+    // Repeats that all instances together may send to one collection.
+    policy::RepeatLimits repeats;
 };
 
 // Totals since the start, for the metrics.
@@ -198,6 +196,7 @@
     void end(RequestKey key, bool closeAtOnce);
     Verdict verdictOf(const Request& request) const;
     Micros pauseBeforeReturn();
+    void noteLag(Micros lag);
 
     const RouterOptions m_options;
     Random m_random;
@@ -215,6 +214,8 @@
     std::priority_queue<Check, std::vector<Check>, std::greater<>> m_checks;
     std::deque<GivenUp> m_givenUp;
     TimePoint m_nextSweep;
+    // How late this process acts on its own timers, near the longest of the recent times.
+    Micros m_lag { 0 };
     std::uint64_t m_lastAttempt = 0;
     std::uint64_t m_lastConnection = 0;
     RouterCounters m_counters;
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -29,7 +29,7 @@
 {
     const auto [it, created] = m_budgets.try_emplace(collection);
     if (created)
-        it->second.configure(m_options.repeatRatio, m_options.repeatAllowance, m_servers.instanceCount(m_now));
+        it->second.configure(m_options.repeats, m_servers.instanceCount(m_now), m_now);
     return it->second;
 }
 
@@ -86,7 +86,7 @@
     attempt.server->unanswered.emplace(id, m_now);
     ++m_counters.attempts;
     if (++part.sent == 1)
-        budgetOf(part.collection).onFirst();
+        budgetOf(part.collection).onFirst(m_now);
     ++part.mayHaveRun;
     m_effects.emplace_back(SendAttempt { id, connection, attempt.request, std::max(Micros { 1'000 }, std::chrono::duration_cast<Micros>(request.hardDeadline - m_now)), attempt.server->record.instance });
 }
@@ -337,7 +337,7 @@
         return false;
     policy::SharedBudget& budget = budgetOf(part.collection);
     const bool costs = part.sent > 0;
-    if (costs && !budget.canTake()) {
+    if (costs && !budget.canTake(m_now)) {
         ++m_counters.repeatsDenied;
         if (!std::exchange(request.denialLogged, true))
             log(events::kRepeatDenied, { { "request", request.id }, { "collection", part.collection }, { "reason", std::string { reason } } });
@@ -346,7 +346,7 @@
     if (!startAttempt(key, request, index))
         return false;
     if (costs)
-        budget.tryTake();
+        budget.tryTake(m_now);
     ++request.repeats;
     ++m_counters.repeats;
     log(events::kAttemptRepeated, { { "request", request.id }, { "server", part.tried.back()->record.instance }, { "collection", part.collection }, { "reason", std::string { reason } }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
--- /dev/null
+++ b/tests/policy/shared_budget_test.cpp
@@ -0,0 +1,59 @@
+#include "policy/shared_budget.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <random>
+
+using namespace curranttrail;
+using namespace curranttrail::policy;
+
+BOOST_AUTO_TEST_SUITE(SharedBudgets)
+
+// Guards against more repeats in any window than the limits allow for all instances together, at any rate and with any
+// distribution of the requests over the instances.
+BOOST_AUTO_TEST_CASE(NoWindowExceedsTheLimits)
+{
+    const RepeatLimits limits { 0.2, 52, Micros { 10'000'000 } };
+    for (std::uint32_t instances : { 1U, 6U, 30U }) {
+        std::mt19937 random(instances);
+        std::vector<SharedBudget> budgets(instances);
+        TimePoint now { Micros { 1'000'000 } };
+        for (SharedBudget& budget : budgets)
+            budget.configure(limits, instances, now);
+        std::deque<std::pair<TimePoint, bool>> events;
+        for (int n = 0; n < 20'000; ++n) {
+            now += Micros { static_cast<std::int64_t>(random() % (n % 4'000 < 2'000 ? 4'000 : 60'000)) };
+            // Half of the requests meet one instance.
+            SharedBudget& budget = budgets[random() % 2 == 0 ? 0 : random() % instances];
+            budget.onFirst(now);
+            events.emplace_back(now, false);
+            if (budget.tryTake(now))
+                events.emplace_back(now, true);
+            while (now - events.front().first > limits.window)
+                events.pop_front();
+            double firsts = 0;
+            double repeats = 0;
+            for (const auto& [at, isRepeat] : events)
+                (isRepeat ? repeats : firsts) += 1;
+            if (n % 50 == 0)
+                BOOST_TEST(repeats <= firsts * limits.ratio + limits.allowance);
+        }
+    }
+}
+
+// Guards against an allowance that is spent once and never comes back.
+BOOST_AUTO_TEST_CASE(TheAllowanceComesBackInEachWindow)
+{
+    SharedBudget budget;
+    TimePoint now { Micros { 1'000'000 } };
+    budget.configure({ 0.2, 50, Micros { 10'000'000 } }, 1, now);
+    while (budget.tryTake(now)) { }
+    now += Micros { 10'000'000 };
+    int taken = 0;
+    while (budget.tryTake(now))
+        ++taken;
+    BOOST_TEST(taken >= 12);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/transport/raw_http_server.cpp
+++ b/transport/raw_http_server.cpp
@@ -1,5 +1,7 @@
 #include "transport/raw_http_server.h"
 
+#include "transport/socket_options.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -140,6 +142,8 @@
         ExchangeId exchange;
         // A part of a request has come.
         bool begun = false;
+        // A request of this connection was handled.
+        bool served = false;
         bool closeAfter = false;
         bool waitingForBytes = false;
     };
@@ -246,7 +250,8 @@
         session->method = request.method;
         session->exchange = ExchangeId { ++m_lastExchange };
         m_exchanges[session->exchange] = session;
-        m_handlers.request(session->exchange, std::move(request));
+        const RawArrival arrival { roundTripOf(session->socket.native_handle()), !std::exchange(session->served, true) };
+        m_handlers.request(session->exchange, std::move(request), arrival);
     }
 
     void rejectInput(const std::shared_ptr<Session>& session, const error_code& ec)
--- a/transport/raw_http_server.h
+++ b/transport/raw_http_server.h
@@ -26,12 +26,19 @@
     Micros idleTime { 15'000'000 };
 };
 
+// How a request came.
+struct RawArrival {
+    // The round trip to the caller as the system measures it, 0 if it does not.
+    Micros roundTrip { 0 };
+    bool firstOnConnection = false;
+};
+
 // HTTP/1.1 server for one event loop; every function and handler runs on the loop's thread. While a request is handled the
 // connection is still read, so that a caller who leaves is noticed at once.
 class RawHttpServer {
 public:
     struct Handlers {
-        std::function<void(ExchangeId exchange, RawRequest request)> request;
+        std::function<void(ExchangeId exchange, RawRequest request, RawArrival arrival)> request;
         // The caller left before its answer.
         std::function<void(ExchangeId exchange)> gone;
     };
--- a/transport/socket_options.cpp
+++ b/transport/socket_options.cpp
@@ -13,4 +13,13 @@
     static_cast<void>(::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis));
 }
 
+Micros roundTripOf(int socket)
+{
+    tcp_info info {};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0)
+        return Micros { 0 };
+    return Micros { info.tcpi_rtt };
+}
+
 } // namespace curranttrail::transport
--- a/transport/socket_options.h
+++ b/transport/socket_options.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/units.h"
+
 #include <chrono>
 
 namespace curranttrail::transport {
@@ -7,4 +9,7 @@
 // Ends a connection whose sent bytes stay unacknowledged for longer. A system without the option keeps its default.
 void limitUnacknowledged(int socket, std::chrono::milliseconds limit);
 
+// The smoothed round trip of a connection, 0 if the system does not tell.
+Micros roundTripOf(int socket);
+
 } // namespace curranttrail::transport
