--- /dev/null
+++ b/tests/main/gateway_test.cpp
@@ -0,0 +1,193 @@
+#include "tests/main/raw_system.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace curranttrail;
+using namespace curranttrail::test;
+using stand_ins::bodyOf;
+using stand_ins::RawClient;
+using stand_ins::StampedServers;
+using stand_ins::statusOf;
+
+namespace {
+
+std::string greatest(std::vector<std::string> parts, std::size_t count)
+{
+    std::vector<std::string> records;
+    for (const std::string& part : parts) {
+        for (std::size_t n = 0; n + 16 <= part.size(); n += 16)
+            records.push_back(part.substr(n, 16));
+    }
+    std::sort(records.begin(), records.end(), std::greater<> {});
+    std::string body;
+    for (std::size_t n = 0; n < std::min(count, records.size()); ++n)
+        body += records[n];
+    return body;
+}
+
+struct Running : RawSystem {
+    Running()
+    {
+        startCoordinators();
+        startGateway();
+        BOOST_TEST_REQUIRE(put(document(1)) == "200");
+        BOOST_TEST_REQUIRE(eventually([this] { return ready() == "200"; }));
+        // The servers are known once a request is served.
+        BOOST_TEST_REQUIRE(eventually([this] { return statusOf(ask("/order/warm", "warm")) == "200"; }));
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Gateways)
+
+// Guards against a path from caller to server and back that does not hold together: founding of the group, configuration, list
+// of servers, scatter and merge, one server, unknown routes.
+BOOST_AUTO_TEST_CASE(RequestsAreServedFromEndToEnd)
+{
+    Running system;
+    const std::string merged = system.ask("/search/x?q=1", "q-1");
+    BOOST_TEST(statusOf(merged) == "200");
+    BOOST_TEST(bodyOf(merged) == greatest({ StampedServers::recordsOf("shard0", "q-1"), StampedServers::recordsOf("shard1", "q-1") }, 4));
+    const std::string single = system.ask("/order/7", "o-1", "POST", "{}");
+    BOOST_TEST(bodyOf(single) == StampedServers::recordsOf("orders", "o-1"));
+    BOOST_TEST(single.find("orders|i-") != std::string::npos);
+    BOOST_TEST(statusOf(system.ask("/none/x", "n-1")) == "404");
+}
+
+// Guards against a configuration that is lost, invalid in force, replaced by an older one, or changed under its number.
+BOOST_AUTO_TEST_CASE(TheHighestValidDocumentIsInForceAndReadBack)
+{
+    Running system;
+    const std::string five = RawSystem::document(5, R"(,{"name":"new","host":"site","pathPrefix":"/new/","kind":"safe","timeoutMs":1000,"service":"orders"})");
+    BOOST_TEST(system.put(five) == "200");
+    BOOST_TEST(system.put(five) == "200");
+    BOOST_TEST(system.put(RawSystem::document(4)) == "200");
+    BOOST_TEST(system.put(RawSystem::document(6).substr(0, 200)) == "400");
+    BOOST_TEST(system.put(RawSystem::document(6, R"(,{"name":"bad","host":"site","pathPrefix":"/bad/","kind":"safe","timeoutMs":0,"service":"orders"})")) == "400");
+    BOOST_TEST(RawSystem::eventually([&] { return system.read() == five; }));
+    BOOST_TEST(RawSystem::eventually([&] { return statusOf(system.ask("/new/x", "n")) == "200"; }));
+}
+
+// Guards against acknowledged configurations that a restart of all control instances loses, and against seeds that found a second group.
+BOOST_AUTO_TEST_CASE(TheDocumentSurvivesARestartOfTheWholeGroup)
+{
+    Running system;
+    const std::string seven = RawSystem::document(7);
+    BOOST_TEST(system.put(seven) == "200");
+    for (std::unique_ptr<CoordinatorDaemon>& coordinator : system.coordinators)
+        coordinator.reset();
+    // The gateway goes on with what it holds.
+    BOOST_TEST(statusOf(system.ask("/order/x", "alone")) == "200");
+    for (CoordinatorSettings& settings : system.coordinatorSettings)
+        settings.bootstrap = false;
+    system.startCoordinators();
+    BOOST_TEST(RawSystem::eventually([&] { return system.read() == seven; }));
+}
+
+// Guards against a control instance with an empty disk that is not repaired, and against one at a new address that is not taken in.
+BOOST_AUTO_TEST_CASE(AnEmptyAndANewInstanceJoinTheGroup)
+{
+    Running system;
+    system.coordinators[2].reset();
+    std::filesystem::remove_all(system.coordinatorSettings[2].dataFolder);
+    system.coordinatorSettings[2].bootstrap = false;
+    system.coordinatorSettings[2].group.address = "127.0.0.14";
+    system.coordinatorSettings[2].http.address = "127.0.0.14";
+    system.coordinators[2] = std::make_unique<CoordinatorDaemon>(system.coordinatorSettings[2], system.sink);
+    system.coordinators[2]->start();
+    // The second loss comes only after the first one is made good, as the group is meant to bear one at a time.
+    const std::uint16_t port = system.coordinatorSettings[0].group.port;
+    const std::string members = fmt::format("127.0.0.11:{},127.0.0.12:{},127.0.0.14:{}", port, port, port);
+    BOOST_TEST_REQUIRE(RawSystem::eventually([&] { return system.sink.recentAsJson(0, 4'096).find("\"voters\":\"" + members + "\"") != std::string::npos; }));
+    BOOST_TEST_REQUIRE(system.put(RawSystem::document(8)) == "200");
+    system.coordinators[1].reset();
+    std::filesystem::remove_all(system.coordinatorSettings[1].dataFolder);
+    system.coordinatorSettings[1].bootstrap = false;
+    system.coordinators[1] = std::make_unique<CoordinatorDaemon>(system.coordinatorSettings[1], system.sink);
+    system.coordinators[1]->start();
+    BOOST_TEST(system.put(RawSystem::document(9)) == "200");
+    BOOST_TEST(RawSystem::eventually([&] { return statusOf(system.control(2, "GET", "")) == "200" || statusOf(system.control(2, "GET", "")) == "307"; }));
+    BOOST_TEST(RawSystem::eventually([&] {
+        const std::string events = system.sink.recentAsJson(0, 4'096);
+        return events.find("127.0.0.14") != std::string::npos && events.find("repair_completed") != std::string::npos;
+    }));
+}
+
+// Guards against a request that may run once and runs twice, or that is refused as not run after it ran.
+BOOST_AUTO_TEST_CASE(ARequestThatMayRunOnceRunsAtMostOnce)
+{
+    Running system;
+    stand_ins::ServerBehaviour faulty;
+    faulty.rejected = 30;
+    faulty.foreign = 30;
+    for (std::size_t server : { 4, 5 })
+        system.servers.set(server, faulty);
+    int served = 0;
+    for (int n = 0; n < 100; ++n) {
+        const std::string id = fmt::format("once-{}", n);
+        const std::string status = statusOf(system.ask("/book/x", id, "POST", "body"));
+        served += status == "200" ? 1 : 0;
+        const unsigned runs = system.servers.runsOf(id);
+        BOOST_TEST(runs <= 1u);
+        if (status == "503")
+            BOOST_TEST(runs == 0u);
+    }
+    BOOST_TEST(served > 20);
+}
+
+// Guards against work for a server that is leaving or that another incarnation replaced at its address.
+BOOST_AUTO_TEST_CASE(LeavingAndReplacedServersAreAvoided)
+{
+    Running system;
+    stand_ins::ServerBehaviour leaving;
+    leaving.leaving = true;
+    system.servers.set(4, leaving);
+    BOOST_TEST(RawSystem::eventually([&] {
+        for (int n = 0; n < 5; ++n) {
+            if (system.ask("/order/x", "l").find("i-4-") != std::string::npos)
+                return false;
+        }
+        return true;
+    }));
+    system.servers.restart(5);
+    BOOST_TEST(RawSystem::eventually([&] { return system.ask("/order/x", "r").find("i-5-2") != std::string::npos; }));
+}
+
+// Guards against requests lost at a planned stop: an open connection is answered, told to close, and readiness ends first.
+BOOST_AUTO_TEST_CASE(APlannedStopAnswersWhatIsOpen)
+{
+    Running system;
+    RawClient kept(system.gatewaySettings.callers.address, system.gatewaySettings.callers.port);
+    kept.send(RawSystem::requestText("/order/x", "k-1"));
+    BOOST_TEST(statusOf(kept.readMessage()) == "200");
+    system.gateway->stop();
+    BOOST_TEST(RawSystem::eventually([&] { return system.ready() == "503"; }));
+    kept.send(RawSystem::requestText("/order/x", "k-2"));
+    const std::string last = kept.readMessage();
+    BOOST_TEST(statusOf(last) == "200");
+    BOOST_TEST(last.find("Connection: close") != std::string::npos);
+    system.gatewayThread.join();
+    system.gateway.reset();
+}
+
+// Guards against input that smuggles a second request, and against limits of the configuration that are not kept.
+BOOST_AUTO_TEST_CASE(InputBeyondTheLimitsIsRejected)
+{
+    Running system;
+    RawClient both(system.gatewaySettings.callers.address, system.gatewaySettings.callers.port);
+    both.send("POST /order/x HTTP/1.1\r\nHost: site\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /order/y HTTP/1.1\r\nHost: site\r\n\r\n");
+    BOOST_TEST(statusOf(both.readMessage()) == "400");
+    BOOST_TEST(both.closedWithin(5'000));
+    BOOST_TEST(statusOf(system.ask("/order/x", "big", "POST", std::string(200'000, 'x'))) == "413");
+    RawClient wide(system.gatewaySettings.callers.address, system.gatewaySettings.callers.port);
+    wide.send("GET /order/x HTTP/1.1\r\nHost: site\r\nX-Long: " + std::string(20'000, 'x') + "\r\n\r\n");
+    BOOST_TEST(statusOf(wide.readMessage()) == "431");
+    RawClient slow(system.gatewaySettings.callers.address, system.gatewaySettings.callers.port);
+    slow.send("GET /order/x HTTP/1.1\r\nHost:");
+    BOOST_TEST(statusOf(slow.readMessage()) == "408");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/main/raw_system.cpp
@@ -0,0 +1,152 @@
+#include "tests/main/raw_system.h"
+
+#include <unistd.h>
+
+#include <random>
+
+namespace curranttrail::test {
+
+using stand_ins::RawClient;
+
+namespace {
+    constexpr const char* kKey = "a link key of at least 32 characters";
+}
+
+RawSystem::RawSystem()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "curranttrail-raw-XXXXXX").string();
+    folder = mkdtemp(pattern.data());
+    for (const char* collection : { "shard0", "shard0", "shard1", "shard1", "orders", "orders" })
+        servers.add(collection);
+    // Ports are the same on all addresses; a free range is drawn, so that two test programs do not meet.
+    std::random_device device;
+    const std::uint16_t base = static_cast<std::uint16_t>(20'000 + device() % 10'000 * 4);
+    GroupContact contact;
+    contact.groupPort = base;
+    contact.linkKey = kKey;
+    for (int n = 1; n <= 3; ++n)
+        contact.seeds.push_back({ fmt::format("127.0.0.{}", 10 + n), static_cast<std::uint16_t>(base + 1) });
+    for (const transport::Endpoint& seed : contact.seeds) {
+        CoordinatorSettings settings;
+        settings.name = seed.address;
+        settings.dataCentre = "z1";
+        settings.dataFolder = folder + "/" + seed.address;
+        settings.http = seed;
+        settings.group = { seed.address, contact.groupPort };
+        settings.contact = contact;
+        settings.bootstrap = true;
+        settings.serverList = { "127.0.0.1", servers.listPort() };
+        settings.listCallsPerSecond = 100;
+        coordinatorSettings.push_back(settings);
+    }
+    gatewaySettings.name = "gateway-1";
+    gatewaySettings.dataCentre = "z1";
+    gatewaySettings.callers = { "127.0.0.21", static_cast<std::uint16_t>(base + 2) };
+    gatewaySettings.ready = { "127.0.0.21", static_cast<std::uint16_t>(base + 3) };
+    gatewaySettings.contact = contact;
+    gatewaySettings.grace = Micros { 3'000'000 };
+    coordinators.resize(3);
+}
+
+RawSystem::~RawSystem()
+{
+    stopGateway();
+    coordinators.clear();
+    std::filesystem::remove_all(folder);
+}
+
+void RawSystem::startCoordinators()
+{
+    for (std::size_t n = 0; n < coordinators.size(); ++n) {
+        coordinators[n] = std::make_unique<CoordinatorDaemon>(coordinatorSettings[n], sink);
+        coordinators[n]->start();
+    }
+}
+
+void RawSystem::startGateway()
+{
+    gateway = std::make_unique<GatewayDaemon>(gatewaySettings, sink);
+    gatewayThread = std::thread([this] { gateway->run(); });
+}
+
+void RawSystem::stopGateway()
+{
+    if (!gateway)
+        return;
+    gateway->stop();
+    gatewayThread.join();
+    gateway.reset();
+}
+
+std::string RawSystem::document(std::uint64_t version, const std::string& extraRoutes)
+{
+    return fmt::format(R"({{"version":{},"routes":[
+{{"name":"search","host":"site","pathPrefix":"/search/","kind":"safe","timeoutMs":2000,"sloMs":500,"priority":1,"gather":["shard0","shard1"],"maxAttempts":2,"topK":4,"minCoverage":0.5}},
+{{"name":"order","host":"site","pathPrefix":"/order/","kind":"safe","timeoutMs":2000,"sloMs":500,"priority":2,"service":"orders","maxAttempts":2}},
+{{"name":"book","host":"site","pathPrefix":"/book/","kind":"unsafe","timeoutMs":2000,"sloMs":500,"priority":2,"service":"orders","maxAttempts":2}}{}],
+"services":[{{"name":"shard0","maxConns":50}},{{"name":"shard1","maxConns":50}},{{"name":"orders","maxConns":50}}],
+"limits":{{"maxHeaderBytes":8192,"maxBodyBytes":100000,"headerTimeoutMs":1000,"idleTimeoutMs":5000}}}})",
+        version, extraRoutes);
+}
+
+std::string RawSystem::control(std::size_t coordinator, const std::string& method, const std::string& body) const
+{
+    try {
+        const transport::Endpoint& http = coordinatorSettings[coordinator].http;
+        RawClient client(http.address, http.port);
+        client.send(fmt::format("{} /curranttrail/config HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n\r\n{}", method, http.text(), body.size(), body));
+        return client.readMessage(2'000);
+    } catch (const std::exception&) {
+        return {};
+    }
+}
+
+std::string RawSystem::put(const std::string& body) const
+{
+    std::string status;
+    eventually([&] {
+        for (std::size_t n = 0; n < coordinators.size(); ++n) {
+            status = stand_ins::statusOf(control(n, "PUT", body));
+            if (status == "200" || status == "400")
+                return true;
+        }
+        return false;
+    });
+    return status;
+}
+
+std::string RawSystem::read() const
+{
+    for (std::size_t n = 0; n < coordinators.size(); ++n) {
+        const std::string response = control(n, "GET", "");
+        if (stand_ins::statusOf(response) == "200")
+            return stand_ins::bodyOf(response);
+    }
+    return {};
+}
+
+std::string RawSystem::ready() const
+{
+    try {
+        RawClient client(gatewaySettings.ready.address, gatewaySettings.ready.port);
+        client.send("GET /curranttrail/ready HTTP/1.1\r\nHost: x\r\n\r\n");
+        return stand_ins::statusOf(client.readMessage(2'000));
+    } catch (const std::exception&) {
+        return {};
+    }
+}
+
+std::string RawSystem::requestText(const std::string& path, const std::string& id, const std::string& method, const std::string& body)
+{
+    const std::string length = body.empty() ? "" : fmt::format("Content-Length: {}\r\n", body.size());
+    return fmt::format("{} {} HTTP/1.1\r\nHost: site\r\nX-Curranttrail-Request-Id: {}\r\nX-Curranttrail-Deadline-Ms: 2000\r\n{}\r\n{}", method, path, id, length, body);
+}
+
+std::string RawSystem::ask(const std::string& path, const std::string& id, const std::string& method, const std::string& body) const
+{
+    RawClient client(gatewaySettings.callers.address, gatewaySettings.callers.port);
+    client.send(requestText(path, id, method, body));
+    return client.readMessage();
+}
+
+} // namespace curranttrail::test
--- a/tests/stand_ins/link_stand_in.cpp
+++ b/tests/stand_ins/link_stand_in.cpp
@@ -31,12 +31,15 @@
 namespace {
 
     constexpr std::chrono::milliseconds kStateInterval { 20 };
+    constexpr std::chrono::milliseconds kDelay { 80 };
 
-    constexpr std::array<EnumName<LinkMode>, 4> kModeNames { {
+    constexpr std::array<EnumName<LinkMode>, 6> kModeNames { {
         { LinkMode::Pass, "pass" },
         { LinkMode::Hold, "hold" },
         { LinkMode::Drop, "drop" },
         { LinkMode::Cut, "cut" },
+        { LinkMode::Delay, "delay" },
+        { LinkMode::HoldReplies, "hold_replies" },
     } };
 
     std::map<std::string, LinkMode> readState(const std::string& path)
@@ -160,11 +163,15 @@
             asio::steady_timer pause(context);
             while (true) {
                 const std::size_t n = co_await from.async_read_some(asio::buffer(buffer), use_awaitable);
-                while (link.mode == LinkMode::Hold) {
+                if (link.mode == LinkMode::Delay) {
+                    pause.expires_after(kDelay);
+                    co_await pause.async_wait(use_awaitable);
+                }
+                while (link.mode == LinkMode::Hold || (link.mode == LinkMode::HoldReplies && &from == &pair->far)) {
                     pause.expires_after(kStateInterval);
                     co_await pause.async_wait(use_awaitable);
                 }
-                if (link.mode == LinkMode::Pass)
+                if (link.mode != LinkMode::Drop && link.mode != LinkMode::Cut)
                     co_await asio::async_write(to, asio::buffer(buffer.data(), n), use_awaitable);
             }
         } catch (const std::exception&) {
--- a/tests/stand_ins/link_stand_in.h
+++ b/tests/stand_ins/link_stand_in.h
@@ -17,6 +17,10 @@
     Drop,
     // Connections are closed, new ones at once.
     Cut,
+    // Bytes arrive late.
+    Delay,
+    // Bytes from the far end wait; the other way stays open.
+    HoldReplies,
 };
 
 // A TCP connection path from one process to another.
--- a/tests/stand_ins/raw_client.cpp
+++ b/tests/stand_ins/raw_client.cpp
@@ -47,13 +47,17 @@
 } // namespace
 
 RawClient::RawClient(std::uint16_t port)
+    : RawClient("127.0.0.1", port)
+{
+}
+
+RawClient::RawClient(const std::string& loopback, std::uint16_t port)
     : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
 {
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    if (m_socket < 0 || ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+    if (::inet_pton(AF_INET, loopback.c_str(), &address.sin_addr) != 1 || m_socket < 0 || ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
         throw std::runtime_error("cannot connect");
 }
 
@@ -85,7 +89,9 @@
     }
 }
 
-std::string RawClient::readMessage()
+std::string RawClient::readMessage() { return readMessage(kGenerousMs); }
+
+std::string RawClient::readMessage(int milliseconds)
 {
     for (;;) {
         const std::size_t headerEnd = m_buffer.find("\r\n\r\n");
@@ -96,7 +102,7 @@
             return response;
         }
         bool end = false;
-        if (!receive(m_socket, m_buffer, kGenerousMs, end) || end)
+        if (!receive(m_socket, m_buffer, milliseconds, end) || end)
             return "";
     }
 }
--- a/tests/stand_ins/raw_client.h
+++ b/tests/stand_ins/raw_client.h
@@ -11,6 +11,8 @@
 public:
     // Connects to 127.0.0.1. Throws std::runtime_error if that fails.
     explicit RawClient(std::uint16_t port);
+    // Connects to a numeric loopback address.
+    RawClient(const std::string& address, std::uint16_t port);
     // Takes over an open socket, such as one that RawServer accepted.
     static RawClient adopt(int socket);
     RawClient(RawClient&& other) noexcept;
@@ -22,6 +24,8 @@
     void send(std::string_view bytes);
     // Reads one HTTP message with a Content-Length; empty if the connection ends first.
     std::string readMessage();
+    // The same, with a limit of time for each step.
+    std::string readMessage(int milliseconds);
     // Returns true if the server closes the connection within the time, reading and dropping what comes before.
     bool closedWithin(int milliseconds);
     // Closes the connection; with reset, sends RST instead of FIN.
--- /dev/null
+++ b/tests/stand_ins/stamped_servers.cpp
@@ -0,0 +1,183 @@
+#include "tests/stand_ins/stamped_servers.h"
+
+#include "platform/http_names.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <future>
+
+namespace curranttrail::stand_ins {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using transport::ExchangeId;
+using transport::RawReply;
+using transport::RawRequest;
+
+namespace {
+    constexpr int kRecords = 5;
+}
+
+struct StampedServers::Server {
+    std::size_t index = 0;
+    std::string collection;
+    std::string listed;
+    unsigned incarnation = 1;
+    unsigned turn = 0;
+    ServerBehaviour behaviour;
+    std::unique_ptr<transport::RawHttpServer> server;
+
+    std::string instance() const { return fmt::format("i-{}-{}", index, incarnation); }
+};
+
+StampedServers::StampedServers()
+{
+    transport::RawHttpServer::Handlers handlers;
+    handlers.request = [this](ExchangeId exchange, const RawRequest&, transport::RawArrival) {
+        const std::lock_guard lock(m_mutex);
+        m_list->respond(exchange, { 200, {}, list() });
+    };
+    handlers.gone = [](ExchangeId) {};
+    m_list = std::make_unique<transport::RawHttpServer>(m_context, transport::Endpoint { "127.0.0.1", 0 }, std::move(handlers));
+    m_thread = std::thread([this] {
+        const auto work = asio::make_work_guard(m_context);
+        m_context.run();
+    });
+}
+
+StampedServers::~StampedServers()
+{
+    m_context.stop();
+    m_thread.join();
+}
+
+std::size_t StampedServers::add(const std::string& collection)
+{
+    std::promise<std::size_t> done;
+    asio::post(m_context, [&] {
+        std::unique_ptr<Server> server = std::make_unique<Server>();
+        Server* added = server.get();
+        transport::RawHttpServer::Handlers handlers;
+        handlers.request = [this, added](ExchangeId exchange, const RawRequest& request, transport::RawArrival) { handle(*added, exchange, request); };
+        handlers.gone = [](ExchangeId) {};
+        server->server = std::make_unique<transport::RawHttpServer>(m_context, transport::Endpoint { "127.0.0.1", 0 }, std::move(handlers));
+        const std::lock_guard lock(m_mutex);
+        server->index = m_servers.size();
+        server->collection = collection;
+        server->listed = fmt::format("127.0.0.1:{}", server->server->port());
+        m_servers.push_back(std::move(server));
+        done.set_value(m_servers.size() - 1);
+    });
+    return done.get_future().get();
+}
+
+std::uint16_t StampedServers::portOf(std::size_t server) const { return m_servers[server]->server->port(); }
+std::uint16_t StampedServers::listPort() const { return m_list->port(); }
+
+void StampedServers::listAs(std::size_t server, const std::string& address)
+{
+    const std::lock_guard lock(m_mutex);
+    m_servers[server]->listed = address;
+}
+
+void StampedServers::set(std::size_t server, const ServerBehaviour& behaviour)
+{
+    const std::lock_guard lock(m_mutex);
+    m_servers[server]->behaviour = behaviour;
+}
+
+void StampedServers::restart(std::size_t server)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_servers[server]->incarnation;
+}
+
+void StampedServers::handle(Server& server, ExchangeId exchange, const RawRequest& request)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::string id { transport::findField(request.fields, platform::kRequestIdField).value_or("") };
+    const std::string expected { transport::findField(request.fields, platform::kExpectedInstanceField).value_or("") };
+    const ServerBehaviour& behaviour = server.behaviour;
+    // A server that is down never answers; its callers give up.
+    if (behaviour.down)
+        return;
+    if (!expected.empty() && expected != server.instance()) {
+        server.server->respond(exchange, { 421, {}, {} });
+        return;
+    }
+    // A stride without a common factor spreads the faults over the requests.
+    const unsigned turn = server.turn++ * 37 % 100;
+    if (turn < behaviour.rejected) {
+        server.server->respond(exchange, { 503, { { std::string { platform::kNotExecutedField }, "1" } }, {} });
+        return;
+    }
+    ++m_runs[id];
+    if (turn < behaviour.rejected + behaviour.broken)
+        return;
+    const bool foreign = turn < behaviour.rejected + behaviour.broken + behaviour.foreign;
+    RawReply reply;
+    reply.status = 200;
+    reply.fields = { { std::string { platform::kRequestIdField }, foreign ? "another" : id },
+        { std::string { platform::kStampField }, fmt::format("{}|{}|{}", server.collection, server.instance(), id) } };
+    reply.body = recordsOf(server.collection, id);
+    const std::shared_ptr<asio::steady_timer> timer = std::make_shared<asio::steady_timer>(m_context, behaviour.work);
+    timer->async_wait([timer, exchange, reply, target = server.server.get()](const boost::system::error_code& ec) {
+        if (!ec)
+            target->respond(exchange, reply);
+    });
+}
+
+std::string StampedServers::list() const
+{
+    json::array instances;
+    for (const std::unique_ptr<Server>& server : m_servers) {
+        if (server->behaviour.down)
+            continue;
+        instances.push_back(json::object { { "id", server->instance() }, { "service", server->collection }, { "address", server->listed }, { "zone", "z1" },
+            { "version", "v1" }, { "slots", 4 }, { "state", server->behaviour.leaving ? "draining" : "ready" }, { "coldLeftMs", 0 } });
+    }
+    // An entry that another writer left names no server.
+    instances.push_back(json::object { { "id", 5 }, { "state", "unknown" } });
+    return json::serialize(json::object { { "instances", std::move(instances) }, { "nextToken", nullptr } });
+}
+
+unsigned StampedServers::runsOf(const std::string& requestId) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_runs.find(requestId);
+    return it == m_runs.end() ? 0 : it->second;
+}
+
+unsigned StampedServers::mostRuns(std::string_view prefix) const
+{
+    const std::lock_guard lock(m_mutex);
+    unsigned most = 0;
+    for (auto it = m_runs.lower_bound(std::string { prefix }); it != m_runs.end() && it->first.starts_with(prefix); ++it)
+        most = std::max(most, it->second);
+    return most;
+}
+
+std::string StampedServers::recordsOf(std::string_view collection, std::string_view requestId)
+{
+    std::string records;
+    for (int n = 0; n < kRecords; ++n)
+        records += fmt::format("{:016x}", std::hash<std::string> {}(fmt::format("{}/{}/{}", collection, requestId, n)));
+    return records;
+}
+
+std::string StampedServers::collectionOf(std::string_view stamp, std::string_view requestId)
+{
+    const std::size_t first = stamp.find('|');
+    const std::size_t last = stamp.rfind('|');
+    if (first == std::string_view::npos || first == last || stamp.substr(last + 1) != requestId)
+        return {};
+    return std::string { stamp.substr(0, first) };
+}
+
+} // namespace curranttrail::stand_ins
