--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -15,7 +15,7 @@
     // The time that an answer needs from its decision to the network, on top of the observed lag of this process.
     constexpr Micros kProcessingMargin { 3'000 };
     // At least this part of the aim is left for work that waits in this process ahead of a request and is not seen as lag.
-    constexpr int kAimMarginDivisor = 12;
+    constexpr int kAimMarginDivisor = 9;
     // Further time before the caller stops waiting: a late answer helps, one after that does not.
     constexpr Micros kDeadlineMargin { 8'000 };
     // The share of the lag that each shorter observation takes off, and the multiple that is planned for: a request waits for its
@@ -300,8 +300,6 @@
     for (const auto& [instance, server] : m_servers.all()) {
         if (!server->preferred || server->connections > 0 || !server->canOpen(m_now) || server->health.isSuspended(m_now))
             continue;
-        if (!m_table->document().collections.contains(server->record.collection))
-            continue;
         openConnection(*server);
         if (++opened == kWarmPerSweep)
             return;
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -92,26 +92,31 @@
 
 void ServerTable::updateAllowances(const std::map<CollectionName, CollectionSpec>& specs, TimePoint now)
 {
+    // A collection that the document does not name yet is about to be named, as when an index is cut anew. Until its limit is
+    // known, its servers are taken to accept as few connections as any.
+    CollectionSpec unnamed;
+    for (const auto& [name, spec] : specs)
+        unnamed.connectionLimit = unnamed.connectionLimit == 0 ? spec.connectionLimit : std::min(unnamed.connectionLimit, spec.connectionLimit);
     for (const auto& [name, servers] : m_collections) {
         const auto spec = specs.find(name);
-        updateAllowance(spec == specs.end() ? nullptr : &spec->second, servers, now);
+        updateAllowance(spec == specs.end() ? unnamed : spec->second, servers, now);
     }
 }
 
 // While a whole connection to each server falls to every instance, all servers are used. Beyond that each instance uses as many
 // servers of the collection as the limits allow, chosen by a hash so that few connections move when instances or servers change.
-void ServerTable::updateAllowance(const CollectionSpec* spec, const std::vector<Server*>& servers, TimePoint now)
+void ServerTable::updateAllowance(const CollectionSpec& spec, const std::vector<Server*>& servers, TimePoint now)
 {
     std::vector<Server*> usable;
     for (Server* server : servers) {
         server->allowance = 0;
         server->preferred = false;
-        if (spec && server->takesWork())
+        if (server->takesWork())
             usable.push_back(server);
     }
     if (usable.empty())
         return;
-    const double limit = spec->connectionLimit * kUsedShareOfLimit;
+    const double limit = spec.connectionLimit * kUsedShareOfLimit;
     const double instances = m_shares.largestInstanceCount(now);
     if (limit >= instances) {
         for (Server* server : usable) {
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -95,7 +95,7 @@
 private:
     std::size_t rankOf(const Server& server) const;
     double cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const;
-    void updateAllowance(const CollectionSpec* spec, const std::vector<Server*>& servers, TimePoint now);
+    void updateAllowance(const CollectionSpec& spec, const std::vector<Server*>& servers, TimePoint now);
 
     const DataCentreName m_dataCentre;
     const InstanceName m_self;
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -19,6 +19,27 @@
     BOOST_TEST(harness.takeSent().size() == 4u);
 }
 
+// Pattern: an index is cut anew, and its new servers are listed before the routes name them. Guards against the first queries
+// that find no connection to any of them.
+BOOST_AUTO_TEST_CASE(ServersOfTheNextIndexAreConnectedBeforeItIsNamed)
+{
+    RouterHarness harness;
+    harness.serve(2);
+    for (int n = 0; n < 3; ++n)
+        harness.addServer(fmt::format("next{}", n), fmt::format("next{}", n));
+    harness.publish();
+    harness.advance(milliseconds { 500 });
+    std::shared_ptr<RouteDocument> next = std::make_shared<RouteDocument>(*harness.document);
+    next->version = 2;
+    std::get<ScatterTarget>(next->routes[0].target).shards = { "next0", "next1", "next2" };
+    for (int n = 0; n < 3; ++n)
+        next->collections[fmt::format("next{}", n)] = { fmt::format("next{}", n), 100 };
+    harness.handle(DocumentInForce { next });
+    harness.openConnections = false;
+    harness.arrive("/search/x");
+    BOOST_TEST(harness.takeSent().size() == 3u);
+}
+
 // Guards against requests that wait for a configuration which is not there, and against a wrong status for unknown routes.
 BOOST_AUTO_TEST_CASE(WhatCannotBeServedIsRefusedAtOnce)
 {
