--- /dev/null
+++ b/tools/soak_processes.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace curranttrail::tools {
+
+// One program that the soak starts, signals and ends by its process id, and nothing else.
+class ChildProcess {
+public:
+    ChildProcess(std::string program, std::string settingsFile, std::string logFile);
+    ~ChildProcess();
+    ChildProcess(ChildProcess&& other) noexcept;
+    ChildProcess(const ChildProcess&) = delete;
+    ChildProcess& operator=(const ChildProcess&) = delete;
+
+    void start();
+    bool isRunning();
+    // Does nothing if the process has ended.
+    void signal(int number);
+    // Waits until the process has ended; kills it after the limit and returns false.
+    bool waitForEnd(std::chrono::milliseconds limit);
+    // Ends that no signal of the soak explains, such as crashes.
+    unsigned unexpectedEnds() const { return m_unexpectedEnds; }
+
+private:
+    bool reap(bool block);
+
+    std::string m_program;
+    std::string m_settingsFile;
+    std::string m_logFile;
+    pid_t m_id = -1;
+    // A signal that ends the process was sent since its start.
+    bool m_ended = false;
+    unsigned m_unexpectedEnds = 0;
+};
+
+} // namespace curranttrail::tools
--- /dev/null
+++ b/tools/soak_world.cpp
@@ -0,0 +1,409 @@
+#include "tools/soak_world.h"
+
+#include "tests/stand_ins/raw_client.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <set>
+
+namespace curranttrail::tools {
+
+using stand_ins::bodyOf;
+using stand_ins::RawClient;
+using stand_ins::StampedServers;
+using stand_ins::statusOf;
+using std::chrono::milliseconds;
+
+namespace {
+    constexpr std::size_t kCoordinators = 3;
+    constexpr std::size_t kShards = 4;
+    constexpr std::size_t kRecordsKept = 6;
+    // Limits from the promises of the pages: service and configuration are back within this time after the last fault.
+    constexpr milliseconds kRecovery { 15'000 };
+    constexpr milliseconds kGrace { 3'000 };
+    constexpr int kCallerPatienceMs = 2'500;
+    constexpr const char* kKey = "a link key of the soak, 32 characters or more";
+    constexpr const char* kModes[] { "hold", "drop", "cut", "delay", "hold_replies", "pass" };
+
+    std::string fieldOf(const std::string& response, const std::string& name)
+    {
+        const std::size_t begin = response.find("\r\n" + name + ": ");
+        if (begin == std::string::npos)
+            return {};
+        const std::size_t value = begin + name.size() + 4;
+        return response.substr(value, response.find("\r\n", value) - value);
+    }
+
+    std::uint64_t versionOf(const std::string& body)
+    {
+        boost::system::error_code ec;
+        const boost::json::value value = boost::json::parse(body, ec);
+        const boost::json::value* version = ec || !value.is_object() ? nullptr : value.as_object().if_contains("version");
+        return version && version->is_number() ? version->to_number<std::uint64_t>() : 0;
+    }
+}
+
+SoakWorld::SoakWorld(SoakOptions options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+    std::random_device device;
+    m_basePort = static_cast<std::uint16_t>(20'000 + device() % 10'000 * 4);
+    std::filesystem::remove_all(m_options.folder);
+    std::filesystem::create_directories(m_options.folder);
+    stand_ins::LinkStandInSettings links;
+    links.stateFile = m_options.folder + "/links";
+    for (std::size_t shard = 0; shard <= kShards; ++shard) {
+        for (int replica = 0; replica < 2; ++replica) {
+            const std::size_t server = m_servers.add(shard == kShards ? "orders" : fmt::format("shard{}", shard));
+            // A relay stands at an address of its own, so that its port is free.
+            const transport::Endpoint relay { fmt::format("127.0.1.{}", server + 1), m_basePort };
+            links.links.push_back({ fmt::format("s{}", server), relay, { "127.0.0.1", m_servers.portOf(server) } });
+            m_servers.listAs(server, relay.text());
+            m_linkModes.emplace_back("pass");
+        }
+    }
+    writeLinks();
+    m_links = std::make_unique<stand_ins::LinkStandIn>(links);
+    writeSettings();
+}
+
+SoakWorld::~SoakWorld() = default;
+
+void SoakWorld::writeSettings()
+{
+    std::string seeds;
+    for (std::size_t n = 0; n < kCoordinators; ++n)
+        seeds += fmt::format("{}\"127.0.0.{}:{}\"", n ? "," : "", 11 + n, m_basePort + 1);
+    const std::string contact = fmt::format("seeds = [{}]\ngroup_port = {}\nlink_key = \"{}\"\n", seeds, m_basePort, kKey);
+    for (std::size_t n = 0; n < kCoordinators; ++n) {
+        const std::string file = fmt::format("{}/coordinator-{}.toml", m_options.folder, n);
+        std::ofstream(file) << fmt::format("name = \"c{0}\"\ndata_centre = \"z{0}\"\ndata_folder = \"{1}/data-{0}\"\nhttp = \"127.0.0.{2}:{3}\"\n[group]\naddress = \"127.0.0.{2}:{4}\"\nbootstrap = true\n{5}[server_list]\naddress = \"127.0.0.1:{6}\"\ncalls_per_second = 50\n",
+            n, m_options.folder, 11 + n, m_basePort + 1, m_basePort, contact, m_servers.listPort());
+        m_coordinators.emplace_back(m_options.programs + "/curranttrail-coordinator", file, fmt::format("{}/coordinator-{}.log", m_options.folder, n));
+    }
+    for (std::size_t n = 0; n < m_options.gateways; ++n) {
+        const std::string file = fmt::format("{}/gateway-{}.toml", m_options.folder, n);
+        std::ofstream(file) << fmt::format("name = \"g{0}\"\ndata_centre = \"z{0}\"\ncallers = \"127.0.0.{1}:{2}\"\nready = \"127.0.0.{1}:{3}\"\ngrace = \"{4}ms\"\n[group]\n{5}[repeats]\nallowance = 100\n",
+            n, 21 + n, m_basePort + 2, m_basePort + 3, kGrace.count(), contact);
+        m_gateways.emplace_back(m_options.programs + "/curranttrail-gateway", file, fmt::format("{}/gateway-{}.log", m_options.folder, n));
+    }
+}
+
+std::string SoakWorld::document(std::uint64_t version) const
+{
+    std::string gather;
+    std::string services = "{\"name\":\"orders\",\"maxConns\":60}";
+    // Versions differ in the set of shards, so that a mixture of two would be seen.
+    const std::size_t shards = version % 2 == 0 ? kShards : kShards - 1;
+    for (std::size_t n = 0; n < kShards; ++n) {
+        services += fmt::format(",{{\"name\":\"shard{}\",\"maxConns\":60}}", n);
+        if (n < shards)
+            gather += fmt::format("{}\"shard{}\"", n ? "," : "", n);
+    }
+    return fmt::format(R"({{"version":{},"routes":[{{"name":"search","host":"site","pathPrefix":"/search/","kind":"safe","timeoutMs":1000,"sloMs":300,"priority":1,"gather":[{}],"maxAttempts":2,"topK":{},"minCoverage":0.5}},{{"name":"book","host":"site","pathPrefix":"/book/","kind":"unsafe","timeoutMs":1500,"sloMs":300,"priority":2,"service":"orders","maxAttempts":2}}],"services":[{}]}})",
+        version, gather, kRecordsKept, services);
+}
+
+void SoakWorld::violation(std::string text)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_violations.size() < 20)
+        m_violations.push_back(std::move(text));
+}
+
+std::string SoakWorld::control(std::size_t coordinator, const std::string& method, const std::string& body) const
+{
+    try {
+        RawClient client(fmt::format("127.0.0.{}", 11 + coordinator), static_cast<std::uint16_t>(m_basePort + 1));
+        client.send(fmt::format("{} /curranttrail/config HTTP/1.1\r\nHost: c\r\nContent-Length: {}\r\n\r\n{}", method, body.size(), body));
+        return client.readMessage(1'000);
+    } catch (const std::exception&) {
+        // The process is down; the next one is asked.
+        return {};
+    }
+}
+
+std::string SoakWorld::ask(std::size_t gateway, const std::string& path, const std::string& id) const
+{
+    try {
+        RawClient client(fmt::format("127.0.0.{}", 21 + gateway), static_cast<std::uint16_t>(m_basePort + 2));
+        client.send(fmt::format("GET {} HTTP/1.1\r\nHost: site\r\nX-Curranttrail-Request-Id: {}\r\nX-Curranttrail-Deadline-Ms: 2000\r\n\r\n", path, id));
+        return client.readMessage(kCallerPatienceMs);
+    } catch (const std::exception&) {
+        return {};
+    }
+}
+
+// A success names parts of this request only, each shard once, of the set of one version, and holds their greatest records.
+void SoakWorld::checkMerged(const std::string& response, const std::string& id)
+{
+    std::string stamps = fieldOf(response, "X-Curranttrail-Part-Stamps");
+    const std::string missing = fieldOf(response, "X-Curranttrail-Missing-Parts");
+    std::set<std::string> shards;
+    std::vector<std::string> records;
+    for (std::size_t begin = 0; begin < stamps.size();) {
+        const std::size_t end = std::min(stamps.find(", ", begin), stamps.size());
+        const std::string shard = StampedServers::collectionOf(std::string_view { stamps }.substr(begin, end - begin), id);
+        if (shard.empty() || !shards.insert(shard).second) {
+            violation(fmt::format("{}: a part of another request or a shard twice: {}", id, stamps));
+            return;
+        }
+        const std::string part = StampedServers::recordsOf(shard, id);
+        for (std::size_t n = 0; n + 16 <= part.size(); n += 16)
+            records.push_back(part.substr(n, 16));
+        begin = end + 2;
+    }
+    const std::size_t total = shards.size() + (missing.empty() ? 0 : std::stoul(missing));
+    if (total != kShards && total != kShards - 1)
+        violation(fmt::format("{}: {} parts in all belong to no version", id, total));
+    if (shards.size() * 2 < total)
+        violation(fmt::format("{}: {} of {} parts are below the least coverage", id, shards.size(), total));
+    std::sort(records.begin(), records.end(), std::greater<> {});
+    std::string expected;
+    for (std::size_t n = 0; n < std::min(records.size(), kRecordsKept); ++n)
+        expected += records[n];
+    if (bodyOf(response) != expected)
+        violation(fmt::format("{}: the body is not the merge of its parts", id));
+}
+
+// A client that keeps its connection as long as it can.
+void SoakWorld::callers(std::size_t gateway, std::uint64_t seed)
+{
+    Random random(seed);
+    std::unique_ptr<RawClient> client;
+    for (std::uint64_t n = 0; !m_stopping; ++n) {
+        const bool book = n % 3 == 0;
+        const std::string id = fmt::format("{}-{}-{}-{}", book ? "book" : "search", gateway, seed, n);
+        std::string response;
+        try {
+            if (!client)
+                client = std::make_unique<RawClient>(fmt::format("127.0.0.{}", 21 + gateway), static_cast<std::uint16_t>(m_basePort + 2));
+            client->send(fmt::format("GET /{}/x HTTP/1.1\r\nHost: site\r\nX-Curranttrail-Request-Id: {}\r\nX-Curranttrail-Deadline-Ms: 2000\r\n\r\n", book ? "book" : "search", id));
+            response = client->readMessage(kCallerPatienceMs);
+        } catch (const std::exception&) {
+            std::this_thread::sleep_for(milliseconds { 20 });
+        }
+        ++m_requests;
+        const std::string status = statusOf(response);
+        if (response.empty() || response.find("Connection: close") != std::string::npos)
+            client.reset();
+        if (status == "200") {
+            ++m_served;
+            if (!book)
+                checkMerged(response, id);
+            else if (bodyOf(response) != StampedServers::recordsOf("orders", id))
+                violation(id + ": not the server's body");
+        } else if (status == "503" && book) {
+            const std::lock_guard lock(m_mutex);
+            m_notRun.push_back(id);
+        }
+        std::this_thread::sleep_for(milliseconds { 3 + random() % 10 });
+    }
+}
+
+// Sends rising versions and reads back; what was acknowledged is never read older, on any instance.
+void SoakWorld::operators(std::uint64_t seed)
+{
+    Random random(seed);
+    for (std::uint64_t version = 2; !m_stopping; version += 1 + random() % 3) {
+        const std::string body = document(version);
+        for (int tries = 0; tries < 20 && !m_stopping; ++tries) {
+            if (statusOf(control(random() % kCoordinators, "PUT", body)) == "200") {
+                m_accepted = version;
+                break;
+            }
+        }
+        const std::uint64_t accepted = m_accepted;
+        const std::string read = control(random() % kCoordinators, "GET", "");
+        if (statusOf(read) == "200" && versionOf(bodyOf(read)) < accepted)
+            violation(fmt::format("version {} was read after {} was acknowledged", versionOf(bodyOf(read)), accepted));
+        std::this_thread::sleep_for(milliseconds { 50 + random() % 200 });
+    }
+}
+
+void SoakWorld::setLink(std::size_t server, const std::string& mode)
+{
+    m_linkModes[server] = mode;
+    writeLinks();
+}
+
+void SoakWorld::writeLinks()
+{
+    const std::string file = m_options.folder + "/links";
+    std::ofstream out(file + ".new");
+    for (std::size_t n = 0; n < m_linkModes.size(); ++n)
+        out << fmt::format("s{} {}\n", n, m_linkModes[n]);
+    out.close();
+    std::filesystem::rename(file + ".new", file);
+}
+
+void SoakWorld::fault()
+{
+    static constexpr const char* kKinds[] { "kill_coordinator", "freeze_coordinator", "stop_coordinator", "wipe_coordinator", "kill_gateway", "freeze_gateway", "stop_gateway", "reload", "link", "server" };
+    const std::string kind = kKinds[below(std::size(kKinds))];
+    ++m_faults[kind];
+    ChildProcess& coordinator = m_coordinators[below(kCoordinators)];
+    ChildProcess& gateway = m_gateways[below(m_gateways.size())];
+    const auto freeze = [this](ChildProcess& process) {
+        process.signal(SIGSTOP);
+        std::this_thread::sleep_for(milliseconds { 200 + below(1'500) });
+        process.signal(SIGCONT);
+    };
+    const auto end = [this](ChildProcess& process, int number) {
+        process.signal(number);
+        if (!process.waitForEnd(kGrace + milliseconds { 2'000 }) && number == SIGTERM)
+            violation("a process did not end within its grace after SIGTERM");
+        std::this_thread::sleep_for(milliseconds { below(600) });
+        process.start();
+    };
+    if (kind == "kill_coordinator") {
+        end(coordinator, SIGKILL);
+    } else if (kind == "freeze_coordinator") {
+        freeze(coordinator);
+    } else if (kind == "stop_coordinator") {
+        end(coordinator, SIGTERM);
+    } else if (kind == "wipe_coordinator") {
+        // One disk at a time, and only after the group has had time to make good the last one.
+        const std::size_t lost = below(kCoordinators);
+        m_coordinators[lost].signal(SIGKILL);
+        m_coordinators[lost].waitForEnd(kGrace);
+        std::filesystem::remove_all(fmt::format("{}/data-{}", m_options.folder, lost));
+        m_coordinators[lost].start();
+        std::this_thread::sleep_for(milliseconds { 3'000 });
+    } else if (kind == "kill_gateway") {
+        end(gateway, SIGKILL);
+    } else if (kind == "freeze_gateway") {
+        freeze(gateway);
+    } else if (kind == "stop_gateway") {
+        end(gateway, SIGTERM);
+    } else if (kind == "reload") {
+        coordinator.signal(SIGHUP);
+        gateway.signal(SIGHUP);
+    } else if (kind == "link") {
+        setLink(below(m_linkModes.size()), kModes[below(std::size(kModes))]);
+    } else {
+        stand_ins::ServerBehaviour behaviour;
+        behaviour.work = Micros { static_cast<std::int64_t>(1'000 + below(60'000)) };
+        behaviour.rejected = static_cast<unsigned>(below(3) * 15);
+        behaviour.foreign = static_cast<unsigned>(below(3) * 10);
+        behaviour.broken = static_cast<unsigned>(below(2) * 5);
+        behaviour.leaving = below(6) == 0;
+        const std::size_t server = below(m_servers.size());
+        m_servers.set(server, behaviour);
+        if (below(3) == 0)
+            m_servers.restart(server);
+    }
+}
+
+void SoakWorld::healAll()
+{
+    for (std::size_t n = 0; n < m_linkModes.size(); ++n) {
+        m_linkModes[n] = "pass";
+        m_servers.set(n, {});
+    }
+    writeLinks();
+    for (std::vector<ChildProcess>* group : { &m_coordinators, &m_gateways }) {
+        for (ChildProcess& process : *group) {
+            process.signal(SIGCONT);
+            process.start();
+        }
+    }
+}
+
+void SoakWorld::startAll()
+{
+    for (ChildProcess& process : m_coordinators)
+        process.start();
+    for (ChildProcess& process : m_gateways)
+        process.start();
+    const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + kRecovery;
+    while (std::chrono::steady_clock::now() < deadline) {
+        for (std::size_t n = 0; n < kCoordinators && m_accepted == 0; ++n) {
+            if (statusOf(control(n, "PUT", document(1))) == "200")
+                m_accepted = 1;
+        }
+        if (m_accepted > 0 && statusOf(ask(0, "/search/x", "start")) == "200")
+            break;
+        std::this_thread::sleep_for(milliseconds { 50 });
+    }
+    // Later starts are not the first one of the system.
+    for (std::size_t n = 0; n < kCoordinators; ++n) {
+        const std::string file = fmt::format("{}/coordinator-{}.toml", m_options.folder, n);
+        std::ifstream in(file);
+        std::string text { std::istreambuf_iterator<char>(in), {} };
+        text.replace(text.find("bootstrap = true"), 16, "bootstrap = false");
+        std::ofstream(file) << text;
+    }
+}
+
+void SoakWorld::checkEnd()
+{
+    const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + kRecovery;
+    std::set<std::size_t> serving;
+    bool read = false;
+    for (int n = 0; std::chrono::steady_clock::now() < deadline && (serving.size() < m_gateways.size() || !read); ++n) {
+        for (std::size_t gateway = 0; gateway < m_gateways.size(); ++gateway) {
+            const std::string id = fmt::format("end-{}-{}", gateway, n);
+            const std::string response = ask(gateway, "/search/x", id);
+            if (statusOf(response) != "200")
+                continue;
+            checkMerged(response, id);
+            serving.insert(gateway);
+        }
+        for (std::size_t coordinator = 0; coordinator < kCoordinators; ++coordinator) {
+            const std::string response = control(coordinator, "GET", "");
+            read = read || (statusOf(response) == "200" && versionOf(bodyOf(response)) >= m_accepted);
+        }
+        std::this_thread::sleep_for(milliseconds { 100 });
+    }
+    if (serving.size() < m_gateways.size())
+        violation(fmt::format("only {} of {} gateways serve after the last fault", serving.size(), m_gateways.size()));
+    if (!read)
+        violation(fmt::format("version {} cannot be read back after the last fault", m_accepted.load()));
+    for (const std::string& id : m_notRun) {
+        if (m_servers.runsOf(id) > 0)
+            violation(id + ": refused as not run, and a server ran it");
+    }
+    if (m_servers.mostRuns("book-") > 1)
+        violation("a request that may run once ran more often");
+    for (std::vector<ChildProcess>* group : { &m_coordinators, &m_gateways }) {
+        for (ChildProcess& process : *group) {
+            if (process.unexpectedEnds() > 0 || !process.isRunning())
+                violation("a process ended by itself");
+        }
+    }
+}
+
+SoakResult SoakWorld::run()
+{
+    startAll();
+    std::vector<std::thread> threads;
+    for (std::size_t gateway = 0; gateway < m_gateways.size(); ++gateway) {
+        for (int n = 0; n < 2; ++n)
+            threads.emplace_back([this, gateway, seed = m_random()] { callers(gateway, seed); });
+    }
+    threads.emplace_back([this, seed = m_random()] { operators(seed); });
+    const std::chrono::steady_clock::time_point until = std::chrono::steady_clock::now() + m_options.duration;
+    while (std::chrono::steady_clock::now() < until) {
+        fault();
+        std::this_thread::sleep_for(milliseconds { below(700) });
+    }
+    healAll();
+    m_stopping = true;
+    for (std::thread& thread : threads)
+        thread.join();
+    checkEnd();
+    SoakResult result { m_violations, m_requests, m_served, m_accepted, {} };
+    for (const auto& [kind, count] : m_faults)
+        result.faults += fmt::format("{}{}={}", result.faults.empty() ? "" : " ", kind, count);
+    return result;
+}
+
+} // namespace curranttrail::tools
--- /dev/null
+++ b/tools/soak_world.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "core/random.h"
+#include "tests/stand_ins/link_stand_in.h"
+#include "tests/stand_ins/stamped_servers.h"
+#include "tools/soak_processes.h"
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace curranttrail::tools {
+
+struct SoakOptions {
+    std::string programs;
+    std::string folder;
+    std::uint64_t seed = 1;
+    std::size_t gateways = 3;
+    std::chrono::milliseconds duration { 12'000 };
+};
+
+struct SoakResult {
+    std::vector<std::string> violations;
+    std::uint64_t requests = 0;
+    std::uint64_t served = 0;
+    std::uint64_t accepted = 0;
+    std::string faults;
+};
+
+// Runs coordinators and gateways as processes of their own on loopback, with a relay before each backend server, injects faults
+// from outside by a seed, and checks what callers, servers and operators see.
+class SoakWorld {
+public:
+    explicit SoakWorld(SoakOptions options);
+    ~SoakWorld();
+    SoakWorld(const SoakWorld&) = delete;
+    SoakWorld& operator=(const SoakWorld&) = delete;
+
+    SoakResult run();
+
+private:
+    void writeSettings();
+    void startAll();
+    void fault();
+    void healAll();
+    void setLink(std::size_t server, const std::string& mode);
+    void writeLinks();
+    void callers(std::size_t gateway, std::uint64_t seed);
+    void operators(std::uint64_t seed);
+    void checkMerged(const std::string& response, const std::string& id);
+    void checkEnd();
+    std::string document(std::uint64_t version) const;
+    std::string control(std::size_t coordinator, const std::string& method, const std::string& body) const;
+    std::string ask(std::size_t gateway, const std::string& path, const std::string& id) const;
+    void violation(std::string text);
+    std::size_t below(std::size_t bound) { return m_random() % bound; }
+
+    const SoakOptions m_options;
+    Random m_random;
+    std::uint16_t m_basePort = 0;
+    stand_ins::StampedServers m_servers;
+    std::vector<std::string> m_linkModes;
+    std::unique_ptr<stand_ins::LinkStandIn> m_links;
+    std::vector<ChildProcess> m_coordinators;
+    std::vector<ChildProcess> m_gateways;
+    std::atomic<bool> m_stopping { false };
+    std::atomic<std::uint64_t> m_requests { 0 };
+    std::atomic<std::uint64_t> m_served { 0 };
+    // The highest document version that was acknowledged.
+    std::atomic<std::uint64_t> m_accepted { 0 };
+    std::mutex m_mutex;
+    std::vector<std::string> m_violations;
+    // Requests that were refused as not run.
+    std::vector<std::string> m_notRun;
+    std::map<std::string, unsigned> m_faults;
+};
+
+} // namespace curranttrail::tools
