--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -16,7 +16,7 @@
     constexpr Micros kProcessingMargin { 3'000 };
     // At least this part of the aim is left for work that waits in this process ahead of a request and is not seen as lag.
     constexpr int kAimMarginDivisor = 9;
-    // Further time before the caller stops waiting: a late answer helps, one after that does not.
+    // Further time before the caller stops waiting: a late answer helps it, one after that does not.
     constexpr Micros kDeadlineMargin { 8'000 };
     // The share of the lag that each shorter observation takes off, and the multiple that is planned for: a request waits for its
     // turn once when it comes and once when its answer is decided.
@@ -92,10 +92,10 @@
     request.arrivedAt = m_now;
     // The caller's clock started a way earlier, or with its request to connect, and stops a way after the answer leaves.
     const Micros onTheWay = event.roundTrip * (event.freshConnection ? 2 : 1);
-    const Micros processing = std::max(kProcessingMargin + m_lag * kPlannedLag, std::chrono::duration_cast<Micros>(route->aim / kAimMarginDivisor));
-    const Micros patience = event.patience.value_or(route->timeout);
-    request.hardDeadline = m_now + std::min(route->timeout, patience) - onTheWay - processing - kDeadlineMargin;
-    request.softDeadline = m_now + route->aim - onTheWay - processing;
+    const Micros processing = kProcessingMargin + m_lag * kPlannedLag;
+    const Micros patience = event.patience.value_or(route->timeout) - onTheWay - kDeadlineMargin;
+    request.hardDeadline = m_now + std::min(route->timeout, patience) - processing;
+    request.softDeadline = m_now + route->aim - onTheWay - std::max(processing, std::chrono::duration_cast<Micros>(route->aim / kAimMarginDivisor));
     planHedge(request);
     if (const ScatterTarget* scatter = std::get_if<ScatterTarget>(&route->target))
         request.merge.emplace(scatter->recordsKept);
--- a/routing/router.h
+++ b/routing/router.h
@@ -191,6 +191,7 @@
     bool isScatter(const Request& request) const { return request.merge.has_value(); }
     void answerMerged(RequestKey key, Request& request);
     void answerReply(RequestKey key, Request& request, ServerReply reply);
+    std::string openAttempts(const Request& request) const;
     void refuse(RequestKey key, RefusalReason reason);
     void refuseUnrouted(const RequestArrived& event, RefusalReason reason, std::optional<Micros> retryAfter);
     void end(RequestKey key, bool closeAtOnce);
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -153,6 +153,22 @@
     return Micros { pause(m_random) };
 }
 
+// Names the servers of the attempts that are still open, with the time since each was sent.
+std::string Router::openAttempts(const Request& request) const
+{
+    constexpr std::size_t kMostNamed = 4;
+    std::string text;
+    std::size_t named = 0;
+    for (const AttemptId id : request.attempts) {
+        const auto it = m_attempts.find(id);
+        if (it == m_attempts.end() || it->second.givenUp || named++ >= kMostNamed)
+            continue;
+        const std::string age = it->second.connection ? fmt::format("{}us", (m_now - it->second.sentAt).count()) : "unsent";
+        text += fmt::format("{}{}:{}", text.empty() ? "" : ",", it->second.server->record.instance, age);
+    }
+    return text;
+}
+
 void Router::refuse(RequestKey key, RefusalReason reason)
 {
     const Request& request = m_requests.at(key);
@@ -163,7 +179,7 @@
     if (refusal.notRun)
         refusal.retryAfter = pauseBeforeReturn();
     ++m_counters.refused[static_cast<std::size_t>(reason)];
-    log(events::kRequestRefused, { { "request", request.id }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "reason", std::string { nameOf(kRefusalReasonNames, reason) } }, { "not_run", refusal.notRun ? "true" : "false" }, { "parts", fmt::to_string(request.done) }, { "failed", fmt::to_string(request.failed) }, { "repeats", fmt::to_string(request.repeats) }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
+    log(events::kRequestRefused, { { "request", request.id }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "reason", std::string { nameOf(kRefusalReasonNames, reason) } }, { "not_run", refusal.notRun ? "true" : "false" }, { "parts", fmt::to_string(request.done) }, { "failed", fmt::to_string(request.failed) }, { "open", openAttempts(request) }, { "repeatable", request.route->repeatable ? "true" : "false" }, { "attempt_limit", fmt::to_string(request.route->maximumAttempts) }, { "repeats", fmt::to_string(request.repeats) }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
     m_effects.emplace_back(refusal);
     end(key, false);
 }
--- a/tests/main/raw_system.cpp
+++ b/tests/main/raw_system.cpp
@@ -1,8 +1,8 @@
 #include "tests/main/raw_system.h"
 
-#include <unistd.h>
+#include "tests/stand_ins/free_ports.h"
 
-#include <random>
+#include <unistd.h>
 
 namespace curranttrail::test {
 
@@ -18,9 +18,8 @@
     folder = mkdtemp(pattern.data());
     for (const char* collection : { "shard0", "shard0", "shard1", "shard1", "orders", "orders" })
         servers.add(collection);
-    // Ports are the same on all addresses; a free range is drawn, so that two test programs do not meet.
-    std::random_device device;
-    const std::uint16_t base = static_cast<std::uint16_t>(20'000 + device() % 10'000 * 4);
+    // Ports are the same on all addresses.
+    const std::uint16_t base = stand_ins::drawPorts({ "127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14", "127.0.0.21" });
     GroupContact contact;
     contact.groupPort = base;
     contact.linkKey = kKey;
--- /dev/null
+++ b/tests/stand_ins/free_ports.cpp
@@ -0,0 +1,54 @@
+#include "tests/stand_ins/free_ports.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <random>
+#include <stdexcept>
+
+namespace curranttrail::stand_ins {
+
+namespace {
+    constexpr std::uint16_t kFirst = 20'000;
+    constexpr std::uint16_t kGroups = 3'000;
+    constexpr std::uint16_t kPorts = 4;
+    constexpr int kTries = 200;
+
+    bool isFree(const std::string& address, std::uint16_t port)
+    {
+        sockaddr_in endpoint {};
+        endpoint.sin_family = AF_INET;
+        endpoint.sin_port = htons(port);
+        ::inet_pton(AF_INET, address.c_str(), &endpoint.sin_addr);
+        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        const bool free = socket >= 0 && ::bind(socket, reinterpret_cast<const sockaddr*>(&endpoint), sizeof endpoint) == 0;
+        ::close(socket);
+        return free;
+    }
+
+    bool allFree(const std::vector<std::string>& addresses, std::uint16_t base)
+    {
+        for (const std::string& address : addresses) {
+            for (std::uint16_t n = 0; n < kPorts; ++n) {
+                if (!isFree(address, static_cast<std::uint16_t>(base + n)))
+                    return false;
+            }
+        }
+        return true;
+    }
+}
+
+std::uint16_t drawPorts(const std::vector<std::string>& addresses)
+{
+    std::random_device device;
+    for (int n = 0; n < kTries; ++n) {
+        const std::uint16_t base = static_cast<std::uint16_t>(kFirst + device() % kGroups * kPorts);
+        if (allFree(addresses, base))
+            return base;
+    }
+    throw std::runtime_error("no free ports on loopback");
+}
+
+} // namespace curranttrail::stand_ins
--- a/tools/soak_world.cpp
+++ b/tools/soak_world.cpp
@@ -1,5 +1,6 @@
 #include "tools/soak_world.h"
 
+#include "tests/stand_ins/free_ports.h"
 #include "tests/stand_ins/raw_client.h"
 
 #include <boost/json.hpp>
@@ -9,7 +10,6 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
-#include <random>
 #include <set>
 
 namespace curranttrail::tools {
@@ -53,8 +53,14 @@
     : m_options(std::move(options))
     , m_random(m_options.seed)
 {
-    std::random_device device;
-    m_basePort = static_cast<std::uint16_t>(20'000 + device() % 10'000 * 4);
+    std::vector<std::string> addresses;
+    for (std::size_t n = 0; n < 2 * (kShards + 1); ++n)
+        addresses.push_back(fmt::format("127.0.1.{}", n + 1));
+    for (std::size_t n = 0; n < kCoordinators; ++n)
+        addresses.push_back(fmt::format("127.0.0.{}", 11 + n));
+    for (std::size_t n = 0; n < m_options.gateways; ++n)
+        addresses.push_back(fmt::format("127.0.0.{}", 21 + n));
+    m_basePort = stand_ins::drawPorts(addresses);
     std::filesystem::remove_all(m_options.folder);
     std::filesystem::create_directories(m_options.folder);
     stand_ins::LinkStandInSettings links;
