--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -10,10 +10,10 @@
 namespace curranttrail {
 
 namespace {
-    // A leader answers a watch within 0.9 s even without news.
-    constexpr Micros kWatchLimit { 1'400'000 };
+    // A leader answers a watch within 0.6 s even without news.
+    constexpr Micros kWatchLimit { 950'000 };
     constexpr std::chrono::milliseconds kKeepAlive { 1'000 };
-    constexpr std::chrono::milliseconds kSilenceLimit { 1'800 };
+    constexpr std::chrono::milliseconds kSilenceLimit { 1'500 };
     constexpr Micros kPauseAfterFailure { 100'000 };
     // An election takes longer than this, so asking more often brings nothing.
     constexpr Micros kPauseWithoutLeader { 250'000 };
@@ -29,11 +29,11 @@
     }
 }
 
-ControlFeed::ControlFeed(const InstanceName& name, GroupContact contact, transport::EventSink& sink, Callback callback)
+ControlFeed::ControlFeed(const InstanceName& name, GroupContact contact, transport::EventSink& sink, Handlers handlers)
     : m_name(name)
     , m_contact(std::move(contact))
     , m_sink(sink)
-    , m_callback(std::move(callback))
+    , m_handlers(std::move(handlers))
     , m_options(feedOptions(name, m_contact.linkKey, sink))
 {
     m_held.instance = name;
@@ -46,7 +46,7 @@
 ControlFeed::~ControlFeed()
 {
     m_loop.runAndWait([this] {
-        m_callback = {};
+        m_handlers = {};
         m_client.reset();
     });
 }
@@ -58,11 +58,11 @@
 
 void ControlFeed::watch()
 {
-    if (!m_callback || !m_client)
+    if (!m_handlers.reply || !m_client)
         return;
     m_client->request(static_cast<std::uint16_t>(transport::MessageType::Watch), control::encodeWatch(m_held), kWatchLimit,
         [this](const transport::RequestResult& result) {
-            if (m_callback)
+            if (m_handlers.reply)
                 take(result);
         });
 }
@@ -109,21 +109,23 @@
     m_held.documentVersion = std::max(m_held.documentVersion, reply.documentVersion);
     if (reply.servers)
         m_held.list = reply.list;
-    m_callback(std::move(reply));
+    m_handlers.reply(std::move(reply));
     watch();
 }
 
 void ControlFeed::lose(std::string_view reason)
 {
-    if (std::exchange(m_following, false))
-        m_sink.log(events::kFeedLost, { { "control", m_target }, { "reason", std::string { reason } }, { "version", std::to_string(m_held.documentVersion) } });
+    if (!std::exchange(m_following, false))
+        return;
+    m_handlers.lost();
+    m_sink.log(events::kFeedLost, { { "control", m_target }, { "reason", std::string { reason } }, { "version", std::to_string(m_held.documentVersion) } });
 }
 
 void ControlFeed::target(const InstanceName& name)
 {
     m_target = name;
     m_client.reset();
-    if (const std::optional<transport::Endpoint> endpoint = transport::parseEndpoint(name); endpoint && m_callback)
+    if (const std::optional<transport::Endpoint> endpoint = transport::parseEndpoint(name); endpoint && m_handlers.reply)
         m_client = std::make_unique<transport::FrameClient>(m_loop, m_options, endpoint->address, endpoint->port);
 }
 
--- a/main/control_feed.h
+++ b/main/control_feed.h
@@ -16,10 +16,14 @@
 // Follows the leader of a control group: finds it among the seeds and the members that replies name, and watches it.
 class ControlFeed {
 public:
-    // Gets each reply of a leader, on the feed's own thread.
-    using Callback = std::function<void(control::WatchReply reply)>;
-
-    ControlFeed(const InstanceName& name, GroupContact contact, transport::EventSink& sink, Callback callback);
+    // Called on the feed's own thread.
+    struct Handlers {
+        std::function<void(control::WatchReply reply)> reply;
+        // The leader that was followed no longer answers.
+        std::function<void()> lost;
+    };
+
+    ControlFeed(const InstanceName& name, GroupContact contact, transport::EventSink& sink, Handlers handlers);
     ~ControlFeed();
     ControlFeed(const ControlFeed&) = delete;
     ControlFeed& operator=(const ControlFeed&) = delete;
@@ -39,14 +43,13 @@
     const InstanceName m_name;
     GroupContact m_contact;
     transport::EventSink& m_sink;
-    Callback m_callback;
+    Handlers m_handlers;
     const transport::LinkOptions m_options;
     // Used on the loop's thread.
     control::WatchRequest m_held;
     std::set<InstanceName> m_members;
     InstanceName m_target;
     bool m_following = false;
-    bool m_everFollowed = false;
     unsigned m_redirects = 0;
     transport::FrameLoop m_loop;
     std::unique_ptr<transport::FrameClient> m_client;
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -12,7 +12,7 @@
 
 namespace {
     // Shorter than the watcher's time-out, so that a silent leader is noticed by the missing answer.
-    constexpr Micros kMostWait { 700'000 };
+    constexpr Micros kMostWait { 400'000 };
     // An entry instance that has not asked for this long no longer counts for the shares of the others.
     constexpr Micros kEntryLifetime { 6'000'000 };
 
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -6,6 +6,7 @@
 #include "platform/http_fields.h"
 #include "platform/http_names.h"
 #include "platform/route_document_json.h"
+#include "policy/isolation_detector.h"
 #include "routing/router.h"
 #include "transport/metrics.h"
 #include "transport/raw_http_client.h"
@@ -148,7 +149,7 @@
         return handlers;
     }
 
-    bool isReady() const { return router.hasDocument() && listed && !stopping; }
+    bool isReady() const { return router.hasDocument() && listed && !stopping && !isolation.isIsolated(); }
 
     void noteReadiness()
     {
@@ -156,7 +157,9 @@
         if (now == wasReady)
             return;
         wasReady = now;
-        sink.log(now ? events::kReady : events::kNotReady, { { "version", fmt::to_string(router.documentVersion()) }, { "listed", listed ? "true" : "false" }, { "stopping", stopping ? "true" : "false" } });
+        // Callers on open connections are sent elsewhere too, by answers that close them.
+        callers.retireConnections(!now);
+        sink.log(now ? events::kReady : events::kNotReady, { { "version", fmt::to_string(router.documentVersion()) }, { "listed", listed ? "true" : "false" }, { "stopping", stopping ? "true" : "false" }, { "isolated", isolation.isIsolated() ? "true" : "false" } });
     }
 
     void arrived(ExchangeId exchange, RawRequest request, transport::RawArrival arrival)
@@ -233,6 +236,7 @@
 
     void run(routing::AnswerReply& effect)
     {
+        noteOutcome(true);
         RawReply reply;
         reply.status = effect.reply.status;
         reply.fields = platform::returnedFields(effect.reply.fields);
@@ -242,6 +246,7 @@
 
     void run(routing::AnswerMerged& effect)
     {
+        noteOutcome(true);
         RawReply reply;
         reply.status = 200;
         reply.fields = platform::mergedFields(effect.stamps, effect.missing);
@@ -249,8 +254,17 @@
         answer(effect.request, reply);
     }
 
+    void noteOutcome(bool served)
+    {
+        isolation.noteOutcome(served, transport::monotonicNow());
+        noteReadiness();
+    }
+
     void run(const routing::RefuseRequest& effect)
     {
+        using routing::RefusalReason;
+        if (effect.reason == RefusalReason::NoServer || effect.reason == RefusalReason::AttemptsFailed || effect.reason == RefusalReason::TimedOut)
+            noteOutcome(false);
         const Refusal refusal = refusalOf(effect);
         RawReply reply;
         reply.status = refusal.status;
@@ -277,6 +291,7 @@
     {
         if (reply.document)
             takeDocument(*reply.document);
+        isolation.noteLeader(true, transport::monotonicNow());
         feedRouter(routing::InstancesKnown { std::move(reply.entryInstances) });
         if (reply.servers) {
             listed = true;
@@ -327,7 +342,7 @@
         stopAt = transport::monotonicNow();
         sink.log(events::kDraining, { { "requests", fmt::to_string(router.requestsInFlight()) }, { "connections", fmt::to_string(callers.connections()) } });
         noteReadiness();
-        callers.retireConnections();
+        callers.retireConnections(true);
         checkStop();
     }
 
@@ -355,9 +370,17 @@
 
     void runLoop()
     {
-        feed.emplace(settings.name, settings.contact, sink, [this](control::WatchReply reply) {
+        ControlFeed::Handlers handlers;
+        handlers.reply = [this](control::WatchReply reply) {
             asio::post(context, [this, reply = std::move(reply)]() mutable { takeFeed(std::move(reply)); });
-        });
+        };
+        handlers.lost = [this] {
+            asio::post(context, [this] {
+                isolation.noteLeader(false, transport::monotonicNow());
+                noteReadiness();
+            });
+        };
+        feed.emplace(settings.name, settings.contact, sink, std::move(handlers));
         schedule();
         const auto work = asio::make_work_guard(context);
         context.run();
@@ -380,6 +403,7 @@
     transport::RawHttpServer ready;
     std::optional<transport::RawHttpServer> metricsServer;
     transport::Latency& latency;
+    policy::IsolationDetector isolation;
     // The list of servers has come at least once.
     bool listed = false;
     bool stopping = false;
--- /dev/null
+++ b/policy/isolation_detector.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "core/units.h"
+
+namespace curranttrail::policy {
+
+// Decides whether this instance is cut off from what it needs while others may not be: it has lost its control leader, and most
+// of its recent requests failed. Either alone says nothing: a group without a leader leaves service as it is, and servers that
+// fail for all instances fail elsewhere too.
+class IsolationDetector {
+public:
+    void noteOutcome(bool served, TimePoint now);
+    void noteLeader(bool follows, TimePoint now);
+    bool isIsolated() const { return m_isolated; }
+
+private:
+    void fade(TimePoint now);
+    void decide();
+
+    double m_served = 0;
+    double m_failed = 0;
+    TimePoint m_fadedAt;
+    bool m_follows = true;
+    bool m_isolated = false;
+};
+
+} // namespace curranttrail::policy
--- /dev/null
+++ b/tests/policy/isolation_detector_test.cpp
@@ -0,0 +1,48 @@
+#include "policy/isolation_detector.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace curranttrail;
+using namespace curranttrail::policy;
+
+namespace {
+const TimePoint kStart { Micros { 1'000'000 } };
+TimePoint at(int ms) { return kStart + std::chrono::milliseconds { ms }; }
+}
+
+BOOST_AUTO_TEST_SUITE(IsolationDetectors)
+
+// Pattern: a data centre is cut off while its callers still reach it. Guards against an instance there that stays ready and
+// fails most requests, which instances elsewhere could serve.
+BOOST_AUTO_TEST_CASE(AnInstanceThatLostItsLeaderAndFailsIsIsolated)
+{
+    IsolationDetector detector;
+    for (int n = 0; n < 20; ++n)
+        detector.noteOutcome(true, at(n * 20));
+    detector.noteLeader(false, at(1'400));
+    BOOST_TEST(!detector.isIsolated());
+    for (int n = 0; n < 10; ++n)
+        detector.noteOutcome(n % 4 == 0, at(1'400 + n * 40));
+    BOOST_TEST(detector.isIsolated());
+    // No outcome ends it, since there are no requests; the leader does.
+    detector.noteOutcome(true, at(10'000));
+    BOOST_TEST(detector.isIsolated());
+    detector.noteLeader(true, at(10'500));
+    BOOST_TEST(!detector.isIsolated());
+}
+
+// Guards against all instances leaving service when the servers fail everywhere, or when only the control group is down.
+BOOST_AUTO_TEST_CASE(FailuresOrALostLeaderAloneAreNoIsolation)
+{
+    IsolationDetector detector;
+    for (int n = 0; n < 50; ++n)
+        detector.noteOutcome(false, at(n * 20));
+    BOOST_TEST(!detector.isIsolated());
+    IsolationDetector serving;
+    serving.noteLeader(false, at(0));
+    for (int n = 0; n < 50; ++n)
+        serving.noteOutcome(n % 3 != 0, at(n * 20));
+    BOOST_TEST(!serving.isIsolated());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/transport/raw_http_server.cpp
+++ b/transport/raw_http_server.cpp
@@ -93,7 +93,7 @@
         write(session, replyText(reply, !head, session->closeAfter));
     }
 
-    void retire() { m_retiring = true; }
+    void retire(bool retiring) { m_retiring = retiring; }
 
     void stopAccepting()
     {
@@ -374,7 +374,7 @@
 std::uint16_t RawHttpServer::port() const { return m_impl->port(); }
 void RawHttpServer::setLimits(const RawServerLimits& limits) { m_impl->setLimits(limits); }
 void RawHttpServer::respond(ExchangeId exchange, const RawReply& reply) { m_impl->respond(exchange, reply); }
-void RawHttpServer::retireConnections() { m_impl->retire(); }
+void RawHttpServer::retireConnections(bool retire) { m_impl->retire(retire); }
 void RawHttpServer::stopAccepting() { m_impl->stopAccepting(); }
 void RawHttpServer::closeIdle() { m_impl->closeIdle(); }
 std::size_t RawHttpServer::exchanges() const { return m_impl->exchanges(); }
--- a/transport/raw_http_server.h
+++ b/transport/raw_http_server.h
@@ -53,8 +53,8 @@
     void setLimits(const RawServerLimits& limits);
     // Answers a request; does nothing if the caller has left.
     void respond(ExchangeId exchange, const RawReply& reply);
-    // From now on every answer closes its connection.
-    void retireConnections();
+    // Whether every answer closes its connection.
+    void retireConnections(bool retire);
     void stopAccepting();
     void closeIdle();
     // Requests whose answer is not written yet, and open connections.
