--- a/tools/soak_processes.cpp
+++ b/tools/soak_processes.cpp
@@ -1,5 +1,7 @@
 #include "tools/soak_processes.h"
 
+#include <fmt/format.h>
+
 #include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -28,7 +30,7 @@
     , m_logFile(std::move(other.m_logFile))
     , m_id(std::exchange(other.m_id, -1))
     , m_ended(other.m_ended)
-    , m_unexpectedEnds(other.m_unexpectedEnds)
+    , m_unexpectedEnd(std::move(other.m_unexpectedEnd))
 {
 }
 
@@ -66,7 +68,7 @@
         return false;
     m_id = -1;
     if (!m_ended)
-        ++m_unexpectedEnds;
+        m_unexpectedEnd = WIFSIGNALED(status) ? fmt::format("signal {}", WTERMSIG(status)) : fmt::format("status {}", WEXITSTATUS(status));
     return true;
 }
 
--- a/tools/soak_processes.h
+++ b/tools/soak_processes.h
@@ -22,8 +22,8 @@
     void signal(int number);
     // Waits until the process has ended; kills it after the limit and returns false.
     bool waitForEnd(std::chrono::milliseconds limit);
-    // Ends that no signal of the soak explains, such as crashes.
-    unsigned unexpectedEnds() const { return m_unexpectedEnds; }
+    // How the process ended although no signal of the soak explains it, such as "signal 11"; empty if it did not.
+    const std::string& unexpectedEnd() const { return m_unexpectedEnd; }
 
 private:
     bool reap(bool block);
@@ -34,7 +34,7 @@
     pid_t m_id = -1;
     // A signal that ends the process was sent since its start.
     bool m_ended = false;
-    unsigned m_unexpectedEnds = 0;
+    std::string m_unexpectedEnd;
 };
 
 } // namespace curranttrail::tools
--- a/tools/soak_world.cpp
+++ b/tools/soak_world.cpp
@@ -381,8 +381,8 @@
         violation("a request that may run once ran more often");
     for (std::vector<ChildProcess>* group : { &m_coordinators, &m_gateways }) {
         for (ChildProcess& process : *group) {
-            if (process.unexpectedEnds() > 0 || !process.isRunning())
-                violation("a process ended by itself");
+            if (!process.unexpectedEnd().empty() || !process.isRunning())
+                violation("a process ended by itself: " + process.unexpectedEnd());
         }
     }
 }
