--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -22,6 +22,8 @@
     // turn once when it comes and once when its answer is decided.
     constexpr int kLagDivisor = 16;
     constexpr int kPlannedLag = 2;
+    // Longer delays are freezes of the process and say nothing about the next request.
+    constexpr Micros kMostLag { 25'000 };
     // Bounds the memory that requests in flight take; more of them could not be answered within their aims.
     constexpr std::size_t kMostRequests = 800;
     // A request that comes before the routes are known may come back after this.
@@ -261,11 +263,14 @@
 
 void Router::noteLag(Micros lag)
 {
+    lag = std::min(lag, kMostLag);
     m_lag = lag > m_lag ? (lag + m_lag) / 2 : m_lag - m_lag / kLagDivisor;
 }
 
 void Router::sweep()
 {
+    // Without requests nothing else would show that the process is no longer late.
+    noteLag(m_nextSweep == TimePoint {} ? Micros { 0 } : std::chrono::duration_cast<Micros>(m_now - m_nextSweep));
     m_nextSweep = m_now + kSweepInterval;
     std::vector<ConnectionId> late;
     for (const auto& [id, connection] : m_connections) {
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -277,6 +277,28 @@
     BOOST_TEST((closed.front().connection == silent.connection));
 }
 
+// Guards against a process that was frozen and afterwards gives up every request at once, because it expects to be as late again.
+BOOST_AUTO_TEST_CASE(AFreezeDoesNotShortenLaterRequests)
+{
+    RouterHarness harness;
+    harness.serve(2, 1.0);
+    harness.arrive("/search/x");
+    harness.takeSent();
+    // No timer runs for three seconds.
+    harness.now += milliseconds { 3'000 };
+    harness.handle(Tick {});
+    harness.take<RefuseRequest>();
+    harness.takeSent();
+    harness.advance(milliseconds { 500 });
+    harness.arrive("/search/x", milliseconds { 600 });
+    BOOST_TEST(harness.take<RefuseRequest>().empty());
+    for (const SendAttempt& send : harness.takeSent()) {
+        BOOST_TEST((send.remaining > milliseconds { 500 }));
+        harness.reply(send, RouterHarness::success(send.instance));
+    }
+    BOOST_TEST(harness.take<AnswerMerged>().size() == 1u);
+}
+
 // Guards against the split of a route drifting from its weights.
 BOOST_AUTO_TEST_CASE(ASplitHoldsItsWeights)
 {
--- a/tools/soak_processes.cpp
+++ b/tools/soak_processes.cpp
@@ -15,6 +15,8 @@
 
 namespace {
     constexpr std::chrono::milliseconds kPoll { 10 };
+    // The system loads a program and its libraries within this time.
+    constexpr std::chrono::milliseconds kLoadTime { 250 };
 }
 
 ChildProcess::ChildProcess(std::string program, std::string settingsFile, std::string logFile)
@@ -49,6 +51,7 @@
     if (isRunning())
         return;
     m_ended = false;
+    m_startedAt = std::chrono::steady_clock::now();
     m_id = ::fork();
     if (m_id < 0)
         throw std::runtime_error("cannot start a process");
@@ -84,6 +87,8 @@
         return;
     if (number == SIGKILL || number == SIGTERM)
         m_ended = true;
+    if (number == SIGHUP)
+        std::this_thread::sleep_until(m_startedAt + kLoadTime);
     ::kill(m_id, number);
 }
 
--- a/tools/soak_processes.h
+++ b/tools/soak_processes.h
@@ -18,7 +18,8 @@
 
     void start();
     bool isRunning();
-    // Does nothing if the process has ended.
+    // Does nothing if the process has ended. SIGHUP waits until the program has reached its own code: before that no program can
+    // keep the signal's default effect away.
     void signal(int number);
     // Waits until the process has ended; kills it after the limit and returns false.
     bool waitForEnd(std::chrono::milliseconds limit);
@@ -32,6 +33,7 @@
     std::string m_settingsFile;
     std::string m_logFile;
     pid_t m_id = -1;
+    std::chrono::steady_clock::time_point m_startedAt;
     // A signal that ends the process was sent since its start.
     bool m_ended = false;
     std::string m_unexpectedEnd;
