--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -19,7 +19,7 @@
     // The time for which a server stays cold shrinks with every list and is no news by itself.
     bool sameServers(const routing::ServerList& a, const routing::ServerList& b)
     {
-        return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](routing::ServerRecord left, routing::ServerRecord right) {
+        return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](routing::ServerRecord left, const routing::ServerRecord& right) {
             left.coldFor = right.coldFor;
             return left == right;
         });
--- a/main/server_list_poller.cpp
+++ b/main/server_list_poller.cpp
@@ -32,7 +32,7 @@
     {
         transport::HttpRequest request;
         request.path = platform::serverPagePath(token);
-        client.request(address, request, kPageLimit, [weak = weak_from_this()](transport::HttpResult result) {
+        client.request(address, request, kPageLimit, [weak = weak_from_this()](const transport::HttpResult& result) {
             if (const std::shared_ptr<State> self = weak.lock())
                 self->take(result);
         });
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-std::string greatest(std::vector<std::string> parts, std::size_t count)
+std::string greatest(const std::vector<std::string>& parts, std::size_t count)
 {
     std::vector<std::string> records;
     for (const std::string& part : parts) {
--- a/tests/routing/load_patterns_test.cpp
+++ b/tests/routing/load_patterns_test.cpp
@@ -124,6 +124,7 @@
     constexpr int kInstances = 74;
     constexpr std::uint32_t kLimit = 59;
     std::vector<InstanceName> names;
+    names.reserve(kInstances);
     for (int n = 0; n < kInstances; ++n)
         names.push_back(fmt::format("gateway-{}", n));
     std::map<CollectionName, CollectionSpec> specs;
