Move the soak's world to the tests and use the platform's names from the adapter

cause: names of the platform stood in tools outside platform/ change: tests/soak holds the world and its processes, tools/soak_main.cpp the command line; gateway_bench takes names from platform/ measured: builds; gateway_bench runs; no behaviour changed conclusion: kept

--- a/tools/soak_processes.cpp
+++ b/tests/soak/soak_processes.cpp
@@ -1,4 +1,4 @@
-#include "tools/soak_processes.h"
+#include "tests/soak/soak_processes.h"
 
 #include <fmt/format.h>
 
@@ -11,7 +11,7 @@
 #include <thread>
 #include <utility>
 
-namespace curranttrail::tools {
+namespace curranttrail::soak {
 
 namespace {
     constexpr std::chrono::milliseconds kPoll { 10 };
@@ -106,4 +106,4 @@
     return true;
 }
 
-} // namespace curranttrail::tools
+} // namespace curranttrail::soak
--- a/tools/soak_processes.h
+++ b/tests/soak/soak_processes.h
@@ -5,7 +5,7 @@
 #include <sys/types.h>
 #include <vector>
 
-namespace curranttrail::tools {
+namespace curranttrail::soak {
 
 // One program that the soak starts, signals and ends by its process id, and nothing else.
 class ChildProcess {
@@ -39,4 +39,4 @@
     std::string m_unexpectedEnd;
 };
 
-} // namespace curranttrail::tools
+} // namespace curranttrail::soak
--- a/tools/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -1,4 +1,4 @@
-#include "tools/soak_world.h"
+#include "tests/soak/soak_world.h"
 
 #include "tests/stand_ins/free_ports.h"
 #include "tests/stand_ins/raw_client.h"
@@ -12,7 +12,7 @@
 #include <fstream>
 #include <set>
 
-namespace curranttrail::tools {
+namespace curranttrail::soak {
 
 using stand_ins::bodyOf;
 using stand_ins::RawClient;
@@ -412,4 +412,4 @@
     return result;
 }
 
-} // namespace curranttrail::tools
+} // namespace curranttrail::soak
--- a/tools/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/random.h"
+#include "tests/soak/soak_processes.h"
 #include "tests/stand_ins/link_stand_in.h"
 #include "tests/stand_ins/stamped_servers.h"
-#include "tools/soak_processes.h"
 
 #include <atomic>
 #include <chrono>
@@ -14,7 +14,7 @@
 #include <thread>
 #include <vector>
 
-namespace curranttrail::tools {
+namespace curranttrail::soak {
 
 struct SoakOptions {
     std::string programs;
@@ -80,4 +80,4 @@
     std::map<std::string, unsigned> m_faults;
 };
 
-} // namespace curranttrail::tools
+} // namespace curranttrail::soak
--- a/tools/gateway_bench_main.cpp
+++ b/tools/gateway_bench_main.cpp
@@ -1,6 +1,7 @@
 // Measures the processor time of one subquery of a scattered request in an entry instance, without sockets.
 #include "core/random.h"
 #include "platform/http_fields.h"
+#include "platform/http_names.h"
 #include "routing/router.h"
 #include "transport/raw_http.h"
 
@@ -65,14 +66,14 @@
 
     void query(std::uint64_t number)
     {
-        transport::RawRequest request { "GET", "/search/ab12", { { "Host", "example" }, { "X-Curranttrail-Request-Id", "9c41d07be2a35f68" }, { "X-Curranttrail-Deadline-Ms", "600" } }, {} };
+        transport::RawRequest request { "GET", "/search/ab12", { { "Host", "example" }, { std::string { platform::kRequestIdField }, "9c41d07be2a35f68" }, { std::string { platform::kPatienceField }, "600" } }, {} };
         const transport::HttpFields forwarded = platform::forwardedFields(request.fields);
         handle(routing::RequestArrived { { number }, "9c41d07be2a35f68", "example", "/search/ab12", Micros { 600'000 } });
         for (const routing::SendAttempt& send : std::exchange(sent, {})) {
             transport::HttpFields fields = forwarded;
             platform::addAttemptFields(fields, send.remaining, send.instance);
             bytes += transport::requestText(request, fields).size();
-            transport::RawReply reply { 200, { { "X-Curranttrail-Request-Id", "9c41d07be2a35f68" }, { "X-Curranttrail-Server-Stamp", "3e1b.07.5a2.600.0.c9f2a4d1" }, { "X-Curranttrail-Server-Load", "1,0,2" }, { "Content-Length", "400" } }, records };
+            transport::RawReply reply { 200, { { std::string { platform::kRequestIdField }, "9c41d07be2a35f68" }, { std::string { platform::kStampField }, "3e1b.07.5a2.600.0.c9f2a4d1" }, { std::string { platform::kLoadField }, "1,0,2" }, { "Content-Length", "400" } }, records };
             now += Micros { 200 };
             routing::ReplyHead head = platform::decodeReplyHead(reply);
             routing::AttemptReplied event { send.attempt, {} };
--- a/tools/soak_main.cpp
+++ b/tools/soak_main.cpp
@@ -1,5 +1,5 @@
 // A randomized soak of the real programs as separate processes on loopback. Ends with "N passed, N failed", one for each seed.
-#include "tools/soak_world.h"
+#include "tests/soak/soak_world.h"
 
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
@@ -23,14 +23,14 @@
     unsigned passed = 0;
     unsigned failed = 0;
     for (std::uint64_t seed = first.getValue(); seed < first.getValue() + seeds.getValue(); ++seed) {
-        tools::SoakOptions options;
+        soak::SoakOptions options;
         options.programs = programs.getValue();
         options.folder = fmt::format("{}/seed-{}", folder.getValue(), seed);
         options.seed = seed;
         options.gateways = gateways.getValue();
         options.duration = std::chrono::seconds { seconds.getValue() };
-        tools::SoakWorld world(options);
-        const tools::SoakResult result = world.run();
+        soak::SoakWorld world(options);
+        const soak::SoakResult result = world.run();
         fmt::print("seed {}: {}; {} requests, {} served, version {} accepted; {}\n", seed, result.violations.empty() ? "ok" : "FAILED", result.requests, result.served, result.accepted, result.faults);
         for (const std::string& violation : result.violations)
             fmt::print("  {}\n", violation);
