--- a/transport/frame_connection.cpp
+++ b/transport/frame_connection.cpp
@@ -64,6 +64,9 @@
                 break;
             }
         }
+    } catch (const boost::system::system_error& e) {
+        // Its what() also names the place in the library that threw.
+        reason = e.code().message();
     } catch (const std::exception& e) {
         reason = e.what();
     }
