Send changes of the server list to entry instances instead of whole lists

Cause: each change of the list went as a whole to every entry instance, on the grown sites some 100 kB to each of 74, on links of 14 Mbit/s that also carry the parts. The names of all entry instances went with every reply.

Ruled out: longer waits between replies; the replies without news are small.

Change: the leader keeps which servers changed in its last 16 revisions (ServerListHistory) and answers a reader of a recent revision with the difference. Entry instances are named only when they changed. A listed server that answered for another incarnation was tried again because a later whole list named it; now it is tried again after 3 s. The check that such a server is forgotten at once is replaced by two stricter ones: it gets no work for 3 s, then it gets work at its newest address.

--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -15,6 +15,12 @@
     archive(record.instance, record.collection, record.address, record.dataCentre, record.slots, record.leaving, record.coldFor);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, ServerChanges& changes)
+{
+    archive(changes.listed, changes.removed);
+}
+
 } // namespace curranttrail::routing
 
 namespace curranttrail::control {
@@ -40,13 +46,13 @@
 template <typename Archive>
 void serialize(Archive& archive, WatchRequest& message)
 {
-    archive(message.instance, message.documentVersion, message.list);
+    archive(message.instance, message.documentVersion, message.list, message.entryList);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, WatchReply& message)
 {
-    archive(message.leads, message.leader, message.members, message.entryInstances, message.documentVersion, message.document, message.list, message.servers, message.listAge);
+    archive(message.leads, message.leader, message.members, message.entryList, message.entryInstances, message.documentVersion, message.document, message.list, message.serverChanges, message.servers, message.listAge);
 }
 
 std::string encodeJoin(const JoinRequest& message) { return detail::encodeValue(message); }
--- a/control/feed.h
+++ b/control/feed.h
@@ -18,7 +18,7 @@
     InstanceName name;
 };
 
-// The list of servers is numbered anew by each leader, so a number holds within its epoch only.
+// Lists are numbered anew by each leader, so a number holds within its epoch only.
 struct ListVersion {
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
@@ -30,6 +30,7 @@
     InstanceName instance;
     std::uint64_t documentVersion = 0;
     ListVersion list;
+    ListVersion entryList;
 };
 
 struct WatchReply {
@@ -37,13 +38,15 @@
     bool leads = false;
     std::optional<InstanceName> leader;
     std::vector<InstanceName> members;
-    // The entry instances that watch this leader.
-    std::vector<InstanceName> entryInstances;
+    // The entry instances that watch this leader, only if they differ from what the asker knows.
+    ListVersion entryList;
+    std::optional<std::vector<InstanceName>> entryInstances;
     std::uint64_t documentVersion = 0;
     // Only if the version is higher than the asker's.
     std::optional<std::string> document;
     ListVersion list;
-    // Only if the list differs from the asker's.
+    // If the list differs from the asker's: what changed, or the whole list if the asker's is too old or from another leader.
+    std::optional<routing::ServerChanges> serverChanges;
     std::optional<routing::ServerList> servers;
     // The time since the list was fetched.
     Micros listAge { 0 };
--- /dev/null
+++ b/control/server_list_history.cpp
@@ -0,0 +1,78 @@
+#include "control/server_list_history.h"
+
+#include <algorithm>
+#include <map>
+#include <string_view>
+#include <utility>
+
+namespace curranttrail::control {
+
+namespace {
+    // A reader that is this many revisions behind, about that many seconds, gets the whole list.
+    constexpr std::size_t kKeptRevisions = 16;
+
+    // The time for which a server stays cold shrinks with every list and is no news by itself.
+    bool sameServer(const routing::ServerRecord& a, const routing::ServerRecord& b)
+    {
+        routing::ServerRecord left = a;
+        left.coldFor = b.coldFor;
+        return left == b;
+    }
+
+    std::set<std::string> changedInstances(const routing::ServerList& before, const routing::ServerList& after)
+    {
+        std::map<std::string_view, const routing::ServerRecord*> unmatched;
+        for (const routing::ServerRecord& record : before)
+            unmatched.emplace(record.instance, &record);
+        std::set<std::string> changed;
+        for (const routing::ServerRecord& record : after) {
+            const auto it = unmatched.find(record.instance);
+            if (it == unmatched.end() || !sameServer(*it->second, record))
+                changed.insert(record.instance);
+            if (it != unmatched.end())
+                unmatched.erase(it);
+        }
+        for (const auto& [instance, record] : unmatched)
+            changed.emplace(instance);
+        return changed;
+    }
+}
+
+ServerListHistory::ServerListHistory(std::uint64_t epoch)
+    : m_version { epoch, 0 }
+{
+}
+
+bool ServerListHistory::set(routing::ServerList servers)
+{
+    std::set<std::string> changed = changedInstances(m_servers, servers);
+    if (known() && changed.empty())
+        return false;
+    m_servers = std::move(servers);
+    ++m_version.revision;
+    m_changed.push_back(std::move(changed));
+    if (m_changed.size() > kKeptRevisions)
+        m_changed.pop_front();
+    return true;
+}
+
+std::optional<routing::ServerChanges> ServerListHistory::changesSince(const ListVersion& version) const
+{
+    if (version.epoch != m_version.epoch || version.revision == 0 || version.revision > m_version.revision)
+        return std::nullopt;
+    const std::uint64_t behind = m_version.revision - version.revision;
+    if (behind > m_changed.size())
+        return std::nullopt;
+    std::set<std::string> changed;
+    for (auto it = m_changed.end() - static_cast<std::ptrdiff_t>(behind); it != m_changed.end(); ++it)
+        changed.insert(it->begin(), it->end());
+    routing::ServerChanges changes;
+    for (const routing::ServerRecord& record : m_servers) {
+        if (changed.erase(record.instance) > 0)
+            changes.listed.push_back(record);
+    }
+    changes.removed.assign(changed.begin(), changed.end());
+    return changes;
+}
+
+} // namespace curranttrail::control
--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -107,8 +107,10 @@
     if (!std::exchange(m_following, true))
         m_sink.log(events::kFeedRegained, { { "leader", m_target }, { "version", std::to_string(reply.documentVersion) } });
     m_held.documentVersion = std::max(m_held.documentVersion, reply.documentVersion);
-    if (reply.servers)
+    if (reply.servers || reply.serverChanges)
         m_held.list = reply.list;
+    if (reply.entryInstances)
+        m_held.entryList = reply.entryList;
     m_handlers.reply(std::move(reply));
     watch();
 }
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -16,13 +16,11 @@
     // An entry instance that has not asked for this long no longer counts for the shares of the others.
     constexpr Micros kEntryLifetime { 6'000'000 };
 
-    // The time for which a server stays cold shrinks with every list and is no news by itself.
-    bool sameServers(const routing::ServerList& a, const routing::ServerList& b)
+    // Tells this leader's numbers from those of every other one.
+    std::uint64_t drawEpoch()
     {
-        return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](routing::ServerRecord left, const routing::ServerRecord& right) {
-            left.coldFor = right.coldFor;
-            return left == right;
-        });
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 32) | device();
     }
 }
 
@@ -30,9 +28,9 @@
     : m_loop(loop)
     , m_runtime(runtime)
     , m_sink(sink)
+    , m_history(drawEpoch())
+    , m_entryList { m_history.version().epoch, 0 }
 {
-    std::random_device device;
-    m_version.epoch = (static_cast<std::uint64_t>(device()) << 32) | device();
 }
 
 void FeedPublisher::watch(control::WatchRequest request, transport::FrameResponder respond)
@@ -50,7 +48,7 @@
         const bool news = document.version > waiting.request.documentVersion;
         control::HeldDocument held { document.version, news ? document.content : std::string {} };
         m_loop.post([this, waiting, status, held = std::move(held), wait = mayWait && leads && !news] {
-            if (wait && (!m_servers || waiting.request.list == m_version))
+            if (wait && (!m_history.known() || waiting.request.list == m_history.version()))
                 m_waiting.push_back(waiting);
             else
                 reply(waiting, status, held);
@@ -66,35 +64,42 @@
     reply.leader = status.leader;
     reply.members.assign(status.voters.begin(), status.voters.end());
     reply.members.insert(reply.members.end(), status.learners.begin(), status.learners.end());
-    reply.entryInstances = entryInstances(now);
+    updateEntryInstances(now);
+    reply.entryList = m_entryList;
+    if (waiting.request.entryList != m_entryList)
+        reply.entryInstances = m_entryInstances;
     reply.documentVersion = document.version;
     if (!document.content.empty())
         reply.document = document.content;
-    reply.list = m_version;
-    if (m_servers && waiting.request.list != m_version)
-        reply.servers = *m_servers;
+    reply.list = m_history.version();
+    if (m_history.known() && waiting.request.list != reply.list) {
+        reply.serverChanges = m_history.changesSince(waiting.request.list);
+        if (!reply.serverChanges)
+            reply.servers = m_history.servers();
+    }
     reply.listAge = std::chrono::duration_cast<Micros>(now - m_listedAt);
     waiting.respond(control::encodeWatchReply(reply));
 }
 
-std::vector<InstanceName> FeedPublisher::entryInstances(TimePoint now)
+void FeedPublisher::updateEntryInstances(TimePoint now)
 {
     std::erase_if(m_seen, [now](const auto& seen) { return now - seen.second > kEntryLifetime; });
     std::vector<InstanceName> names;
     for (const auto& [name, at] : m_seen)
         names.push_back(name);
-    return names;
+    if (names == m_entryInstances)
+        return;
+    m_entryInstances = std::move(names);
+    ++m_entryList.revision;
 }
 
 void FeedPublisher::setServers(routing::ServerList servers)
 {
     m_loop.post([this, servers = std::move(servers)]() mutable {
         m_listedAt = transport::monotonicNow();
-        if (m_servers && sameServers(*m_servers, servers))
+        if (!m_history.set(std::move(servers)))
             return;
-        m_servers = std::make_shared<const routing::ServerList>(std::move(servers));
-        ++m_version.revision;
-        m_sink.log(events::kServerListChanged, { { "revision", fmt::to_string(m_version.revision) }, { "servers", fmt::to_string(m_servers->size()) } });
+        m_sink.log(events::kServerListChanged, { { "revision", fmt::to_string(m_history.version().revision) }, { "servers", fmt::to_string(m_history.servers().size()) } });
         answerAll();
     });
 }
--- a/main/feed_publisher.h
+++ b/main/feed_publisher.h
@@ -2,6 +2,7 @@
 
 #include "control/control_reducer.h"
 #include "control/feed.h"
+#include "control/server_list_history.h"
 #include "main/control_runtime.h"
 #include "transport/event_sink.h"
 #include "transport/frame_link.h"
@@ -37,15 +38,17 @@
     void answer(Waiting waiting, bool mayWait);
     void answerAll();
     void reply(const Waiting& waiting, const control::ReplicaStatus& status, const control::HeldDocument& document);
-    std::vector<InstanceName> entryInstances(TimePoint now);
+    void updateEntryInstances(TimePoint now);
 
     transport::FrameLoop& m_loop;
     ControlRuntime& m_runtime;
     transport::EventSink& m_sink;
     std::vector<Waiting> m_waiting;
     std::map<InstanceName, TimePoint> m_seen;
-    control::ListVersion m_version;
-    std::shared_ptr<const routing::ServerList> m_servers;
+    control::ServerListHistory m_history;
+    // The entry instances of the last reply and their number.
+    std::vector<InstanceName> m_entryInstances;
+    control::ListVersion m_entryList;
     TimePoint m_listedAt;
 };
 
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -292,7 +292,10 @@
         if (reply.document)
             takeDocument(*reply.document);
         isolation.noteLeader(true, transport::monotonicNow());
-        feedRouter(routing::InstancesKnown { std::move(reply.entryInstances) });
+        if (reply.entryInstances)
+            feedRouter(routing::InstancesKnown { std::move(*reply.entryInstances) });
+        if (reply.serverChanges)
+            feedRouter(routing::ServersChanged { std::move(*reply.serverChanges), reply.listAge });
         if (reply.servers) {
             listed = true;
             feedRouter(routing::ServersListed { std::move(*reply.servers), reply.listAge });
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -115,6 +115,12 @@
     Micros age { 0 };
 };
 
+struct ServersChanged {
+    ServerChanges changes;
+    // The age of the newer list when its changes came here.
+    Micros age { 0 };
+};
+
 // The entry instances that share the servers with this one, itself included.
 struct InstancesKnown {
     std::vector<InstanceName> instances;
@@ -123,7 +129,7 @@
 struct Tick { };
 
 using Event = std::variant<RequestArrived, RequestAbandoned, ConnectionOpened, ConnectionLost, AttemptReplied, AttemptBroken, DocumentInForce,
-    ServersListed, InstancesKnown, Tick>;
+    ServersListed, ServersChanged, InstancesKnown, Tick>;
 
 // ---- Effects ----
 
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -218,16 +218,25 @@
 
 void Router::on(const ServersListed& event)
 {
-    const ServerTable::Changes changes = m_servers.apply(event.servers, event.age, m_now);
+    takeServers(m_servers.apply(event.servers, event.age, m_now), event.age);
+}
+
+void Router::on(const ServersChanged& event)
+{
+    takeServers(m_servers.apply(event.changes, event.age, m_now), event.age);
+}
+
+void Router::takeServers(const ServerTable::Changes& changes, Micros age)
+{
     for (const Server* server : changes.appeared)
         log(events::kServerAppeared, { { "server", server->record.instance }, { "collection", server->record.collection }, { "address", server->record.address } });
     for (Server* server : changes.leaving) {
-        log(events::kServerLeaving, { { "server", server->record.instance }, { "collection", server->record.collection }, { "listed", server->gone ? "false" : "true" }, { "age_us", fmt::to_string(event.age.count()) } });
+        log(events::kServerLeaving, { { "server", server->record.instance }, { "collection", server->record.collection }, { "listed", server->gone ? "false" : "true" }, { "age_us", fmt::to_string(age.count()) } });
         failWaiting(*server);
         for (const ConnectionId connection : std::vector<ConnectionId>(server->idle))
             closeConnection(connection);
     }
-    m_servers.forgetGone();
+    m_servers.forgetGone(m_now);
     updateShares();
     warmConnections();
 }
@@ -291,7 +300,8 @@
         const ConnectionId connection = *it->second.connection;
         closeConnection(connection);
     }
-    if (m_servers.expireShares(m_now))
+    const bool triedAnew = m_servers.forgetGone(m_now);
+    if (m_servers.expireShares(m_now) || triedAnew)
         updateShares();
     warmConnections();
 }
--- a/routing/router.h
+++ b/routing/router.h
@@ -153,6 +153,8 @@
     void on(const AttemptBroken& event);
     void on(const DocumentInForce& event);
     void on(const ServersListed& event);
+    void on(const ServersChanged& event);
+    void takeServers(const ServerTable::Changes& changes, Micros age);
     void on(const InstancesKnown& event);
     void on(const Tick&) { }
     void runTimers();
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -214,7 +214,7 @@
     }
     const ReplyKind kind = event.reply.kind;
     if (kind == ReplyKind::WrongInstance && !server.gone) {
-        server.gone = true;
+        server.markGone(m_now);
         log(events::kServerReplaced, { { "server", server.record.instance }, { "address", server.record.address } });
         failWaiting(server);
         if (!event.reply.closing)
--- a/routing/server_record.h
+++ b/routing/server_record.h
@@ -28,4 +28,14 @@
 
 using ServerList = std::vector<ServerRecord>;
 
+// The difference between two lists.
+struct ServerChanges {
+    // New servers, and listed ones of which something changed.
+    std::vector<ServerRecord> listed;
+    // Incarnations that the list no longer names.
+    std::vector<std::string> removed;
+
+    bool operator==(const ServerChanges&) const = default;
+};
+
 } // namespace curranttrail::routing
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -26,16 +26,26 @@
     constexpr double kSuspendedMicros = 2e6;
     // Work on a cold server takes longer by this factor.
     constexpr double kColdFactor = 1.6;
+    // A listed server at whose address another incarnation answered is tried again after this, longer than the list lags.
+    constexpr Micros kMistrust { 3'000'000 };
     // Spreads instances with the same view over servers of about the same cost.
     constexpr double kJitterMicros = 800;
 } // namespace
 
 Server::Server(ServerRecord listed, TimePoint now)
     : record(std::move(listed))
+    , newest(record)
     , health(false, now)
 {
 }
 
+void Server::markGone(TimePoint now)
+{
+    if (std::exchange(gone, true))
+        return;
+    goneSince = now;
+}
+
 bool Server::canOpen(TimePoint now) const
 {
     return takesWork() && connections < allowance && now >= connectNotBefore;
@@ -53,36 +63,60 @@
     std::set<std::string_view> named;
     for (const ServerRecord& record : list) {
         named.insert(record.instance);
-        Server* server = find(record.instance);
-        if (!server) {
-            std::unique_ptr<Server> created = std::make_unique<Server>(record, now);
-            server = created.get();
-            m_servers.emplace(record.instance, std::move(created));
-            m_collections[record.collection].push_back(server);
-            server->coldUntil = now + record.coldFor - age;
-            changes.appeared.push_back(server);
-            if (record.leaving)
-                changes.leaving.push_back(server);
-            continue;
-        }
-        const bool worked = server->takesWork();
-        // The same incarnation at another address or in another collection cannot be trusted to be the same server.
-        if (server->record.address != record.address || server->record.collection != record.collection)
-            server->gone = true;
-        server->record.leaving = record.leaving;
-        server->record.slots = record.slots;
-        if (worked && !server->takesWork())
-            changes.leaving.push_back(server);
+        take(record, age, now, changes);
     }
     for (const auto& [instance, server] : m_servers) {
-        if (server->gone || named.contains(instance))
-            continue;
-        server->gone = true;
-        changes.leaving.push_back(server.get());
+        if (!named.contains(instance))
+            remove(*server, changes);
+    }
+    return changes;
+}
+
+ServerTable::Changes ServerTable::apply(const ServerChanges& news, Micros age, TimePoint now)
+{
+    Changes changes;
+    for (const ServerRecord& record : news.listed)
+        take(record, age, now, changes);
+    for (const std::string& instance : news.removed) {
+        if (Server* server = find(instance))
+            remove(*server, changes);
     }
     return changes;
 }
 
+void ServerTable::take(const ServerRecord& record, Micros age, TimePoint now, Changes& changes)
+{
+    Server* server = find(record.instance);
+    if (!server) {
+        std::unique_ptr<Server> created = std::make_unique<Server>(record, now);
+        server = created.get();
+        m_servers.emplace(record.instance, std::move(created));
+        m_collections[record.collection].push_back(server);
+        server->coldUntil = now + record.coldFor - age;
+        changes.appeared.push_back(server);
+        if (record.leaving)
+            changes.leaving.push_back(server);
+        return;
+    }
+    const bool worked = server->takesWork();
+    // The same incarnation at another address or in another collection cannot be trusted to be the same server.
+    if (server->record.address != record.address || server->record.collection != record.collection)
+        server->markGone(now);
+    server->listed = true;
+    server->newest = record;
+    server->record.leaving = record.leaving;
+    server->record.slots = record.slots;
+    if (worked && !server->takesWork())
+        changes.leaving.push_back(server);
+}
+
+void ServerTable::remove(Server& server, Changes& changes)
+{
+    server.listed = false;
+    if (!std::exchange(server.gone, true))
+        changes.leaving.push_back(&server);
+}
+
 bool ServerTable::setInstances(std::vector<InstanceName> instances, TimePoint now)
 {
     const std::uint32_t before = m_shares.instanceCount();
@@ -209,20 +243,28 @@
     return std::any_of(servers.begin(), servers.end(), [](const Server* server) { return server->takesWork(); });
 }
 
-void ServerTable::forgetGone()
+bool ServerTable::forgetGone(TimePoint now)
 {
+    ServerList triedAnew;
     for (auto it = m_servers.begin(); it != m_servers.end();) {
         const Server& server = *it->second;
-        if (!server.gone || server.connections > 0 || server.ownWork() > 0) {
+        const bool trusted = server.listed && now - server.goneSince >= kMistrust;
+        if (!server.gone || server.connections > 0 || server.ownWork() > 0 || (server.listed && !trusted)) {
             ++it;
             continue;
         }
+        if (server.listed)
+            triedAnew.push_back(server.newest);
         const auto collection = m_collections.find(server.record.collection);
         std::erase(collection->second, &server);
         if (collection->second.empty())
             m_collections.erase(collection);
         it = m_servers.erase(it);
     }
+    Changes changes;
+    for (const ServerRecord& record : triedAnew)
+        take(record, Micros { 0 }, now, changes);
+    return !triedAnew.empty();
 }
 
 } // namespace curranttrail::routing
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -23,10 +23,16 @@
     Server(ServerRecord listed, TimePoint now);
 
     ServerRecord record;
+    // What the newest list says of it; its address may differ from that of the connections.
+    ServerRecord newest;
     policy::ServerHealth health;
     ServerQuality quality;
     // Set once the list no longer names it, or another incarnation answered at its address.
     bool gone = false;
+    // When another incarnation answered or the address changed.
+    TimePoint goneSince;
+    // Whether the newest list names it.
+    bool listed = true;
     TimePoint coldUntil;
     std::vector<ConnectionId> idle;
     std::uint32_t connections = 0;
@@ -47,6 +53,7 @@
     // Whether a connection is kept open ahead of need.
     bool preferred = false;
 
+    void markGone(TimePoint now);
     bool takesWork() const { return !gone && !record.leaving; }
     bool canSendAtOnce() const { return !idle.empty(); }
     bool canOpen(TimePoint now) const;
@@ -74,6 +81,8 @@
         std::vector<Server*> leaving;
     };
     Changes apply(const ServerList& list, Micros age, TimePoint now);
+    // Takes over what changed since the last list.
+    Changes apply(const ServerChanges& news, Micros age, TimePoint now);
     // Returns whether the set of instances changed.
     bool setInstances(std::vector<InstanceName> instances, TimePoint now);
     // Computes anew how many connections to each server this instance may hold.
@@ -88,12 +97,15 @@
     Server* choose(const CollectionName& collection, const std::vector<const Server*>& avoided, const WorkEstimate& estimate, Random& random, TimePoint now) const;
     // Returns whether any server of the collection takes work.
     bool hasUsable(const CollectionName& collection) const;
-    // Drops servers that are gone and have no connection left.
-    void forgetGone();
+    // Drops servers that are gone and have no connection left. Those that the list still names are tried anew after a while.
+    // Returns whether there are such.
+    bool forgetGone(TimePoint now);
 
     const std::unordered_map<std::string, std::unique_ptr<Server>>& all() const { return m_servers; }
 
 private:
+    void take(const ServerRecord& record, Micros age, TimePoint now, Changes& changes);
+    static void remove(Server& server, Changes& changes);
     // The order in which this instance prefers servers of which it may use a few only.
     std::pair<bool, std::size_t> rankOf(const Server& server) const;
     double cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const;
--- /dev/null
+++ b/tests/control/server_list_history_test.cpp
@@ -0,0 +1,105 @@
+#include "control/server_list_history.h"
+#include "core/random.h"
+#include "routing/server_table.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <map>
+
+using namespace curranttrail;
+using namespace curranttrail::control;
+using namespace curranttrail::routing;
+
+namespace {
+
+int below(Random& random, int bound)
+{
+    return boost::random::uniform_int_distribution<int>(0, bound - 1)(random);
+}
+
+// A list in which servers come, leave, go and sometimes stay as they are.
+ServerList randomList(Random& random)
+{
+    ServerList list;
+    for (int n = 0; n < 12; ++n) {
+        if (below(random, 4) == 0)
+            continue;
+        list.push_back({ fmt::format("i{}", n), fmt::format("c{}", n % 3), fmt::format("10.0.0.{}:80", n), "dc-a", 2, below(random, 4) == 0, Micros { below(random, 3) } });
+    }
+    return list;
+}
+
+std::map<std::string, bool> workingServers(const ServerTable& table)
+{
+    std::map<std::string, bool> working;
+    for (const auto& [instance, server] : table.all()) {
+        if (server->takesWork())
+            working.emplace(instance, true);
+    }
+    return working;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerListHistories)
+
+// Guards against a reader of changes who ends up with other servers than a reader of whole lists.
+BOOST_AUTO_TEST_CASE(ChangesLeadToTheSameServersAsWholeLists)
+{
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        Random random(seed);
+        ServerListHistory history(7);
+        ServerTable byChanges("dc-a", "gateway");
+        ListVersion held;
+        TimePoint now { Micros { 1'000'000 } };
+        for (int step = 0; step < 60; ++step) {
+            const ServerList list = randomList(random);
+            history.set(list);
+            now += Micros { 5'000'000 };
+            byChanges.forgetGone(now);
+            // The reader skips revisions, sometimes more than are kept.
+            if (below(random, 3) > 0)
+                continue;
+            const std::optional<ServerChanges> changes = history.changesSince(held);
+            if (changes)
+                byChanges.apply(*changes, Micros { 0 }, now);
+            else
+                byChanges.apply(history.servers(), Micros { 0 }, now);
+            held = history.version();
+            byChanges.forgetGone(now);
+            ServerTable byLists("dc-a", "gateway");
+            byLists.apply(list, Micros { 0 }, now);
+            BOOST_REQUIRE_MESSAGE(workingServers(byChanges) == workingServers(byLists), "seed " << seed << " step " << step);
+        }
+    }
+}
+
+// Guards against news for a list in which only the remaining cold time went on.
+BOOST_AUTO_TEST_CASE(ColdTimeThatGoesOnIsNoChange)
+{
+    ServerListHistory history(7);
+    BOOST_TEST(!history.known());
+    BOOST_TEST(history.set({ { "i1", "a", "10.0.0.1:80", "dc-a", 2, false, Micros { 3'000'000 } } }));
+    BOOST_TEST(!history.set({ { "i1", "a", "10.0.0.1:80", "dc-a", 2, false, Micros { 2'000'000 } } }));
+    BOOST_TEST(history.set({ { "i1", "a", "10.0.0.1:80", "dc-a", 2, true, Micros { 0 } } }));
+    BOOST_TEST(history.version().revision == 2u);
+}
+
+// Guards against changes that are counted from the list of another leader or from one that is too old.
+BOOST_AUTO_TEST_CASE(UnknownVersionsGetTheWholeList)
+{
+    ServerListHistory history(7);
+    for (int n = 0; n < 40; ++n)
+        history.set({ { fmt::format("i{}", n), "a", "10.0.0.1:80", "dc-a", 2, false, Micros { 0 } } });
+    BOOST_TEST(!history.changesSince({}).has_value());
+    BOOST_TEST(!history.changesSince({ 8, 39 }).has_value());
+    BOOST_TEST(!history.changesSince({ 7, 2 }).has_value());
+    BOOST_TEST(!history.changesSince({ 7, 41 }).has_value());
+    const std::optional<ServerChanges> changes = history.changesSince({ 7, 39 });
+    BOOST_REQUIRE(changes.has_value());
+    BOOST_TEST((*changes == ServerChanges { { { "i39", "a", "10.0.0.1:80", "dc-a", 2, false, Micros { 0 } } }, { "i38" } }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/route_document_test.cpp
+++ b/tests/routing/route_document_test.cpp
@@ -102,7 +102,30 @@
     list.pop_back();
     BOOST_TEST(table.apply(list, Micros { 0 }, now).leaving.size() == 1u);
     BOOST_TEST(!table.hasUsable("a"));
-    table.forgetGone();
+    BOOST_TEST(!table.forgetGone(now));
+    BOOST_TEST(!table.hasUsable("a"));
+    BOOST_TEST(table.find("i2") == nullptr);
+}
+
+// Guards against a listed server that stays unused for good after another incarnation answered once, although changes of the list
+// name only what changed.
+BOOST_AUTO_TEST_CASE(AListedServerIsTriedAgainAfterMistrust)
+{
+    ServerTable table("dc-a", "gateway");
+    TimePoint now { Micros { 1'000'000 } };
+    table.apply(ServerList { { "i1", "a", "10.0.0.1:80", "dc-a", 2, false, Micros { 0 } }, { "i2", "a", "10.0.0.2:80", "dc-a", 2, false, Micros { 0 } } }, Micros { 0 }, now);
+    table.find("i1")->markGone(now);
+    BOOST_TEST(table.apply(ServerChanges { { { "i2", "a", "10.0.0.9:80", "dc-a", 2, false, Micros { 0 } } }, {} }, Micros { 0 }, now).leaving.size() == 1u);
+    now += Micros { 1'000'000 };
+    BOOST_TEST(!table.forgetGone(now));
+    BOOST_TEST(!table.hasUsable("a"));
+    now += Micros { 3'000'000 };
+    BOOST_TEST(table.forgetGone(now));
+    BOOST_TEST(table.find("i1")->takesWork());
+    BOOST_TEST(table.find("i2")->takesWork());
+    BOOST_TEST(table.find("i2")->record.address == "10.0.0.9:80");
+    table.apply(ServerChanges { {}, { "i1", "i2" } }, Micros { 0 }, now);
+    BOOST_TEST(!table.forgetGone(now));
     BOOST_TEST(table.all().empty());
 }
 
