Elect a leader right after all control instances restarted

Logs: processes started at 45.35 s, the election at 45.98 (a restarted replica grants no vote for one election time-out, because its promises to a leader are not on disk), gateways heard of the leader at 46.13 (they ask again each 250 ms), the list of servers came at 46.23 (next tick, and pauses between its three pages).

Ruled out: shorter election time-outs and leases, which would also lose leases on slowed machines; documents from instances that do not lead, which may be older than what is in force.

Change: a replica that does not know its promises gives a conditional vote, which counts only if every voter states in that election that it does not lead, and only from the start of the voter that took part in the pre-vote. Such replicas ask within 20 to 100 ms. An instance without a leader lets watchers wait for one. A new leader fetches the list at once, and the first pages follow each other without a pause. A list from an earlier time as leader is dropped.

Tests: all restart together (leader within 300 ms), quick restarts of several over 45 seeds, the conditional vote, the model check asks early too; its first election now goes that way.

--- a/control/control_election.cpp
+++ b/control/control_election.cpp
@@ -8,6 +8,13 @@
 
 namespace curranttrail::control {
 
+namespace {
+    // After a restart a replica asks at once whether it may lead, and again after about the time in which replicas that start
+    // together are connected.
+    constexpr Micros kFirstAskLeast { 20'000 };
+    constexpr Micros kFirstAskMost { 100'000 };
+}
+
 void ControlReducer::checkTimers()
 {
     if (m_role == Role::Leader) {
@@ -31,7 +38,11 @@
 
 void ControlReducer::restartElectionTimer()
 {
-    boost::random::uniform_int_distribution<Micros::rep> distribution(m_options.electionTimeoutLeast.count(), m_options.electionTimeoutMost.count());
+    // An election that asks for real votes gets its full time, so that slow disks can sync the votes.
+    const bool asksFirst = promisesUnknown() && isVoter() && m_role != Role::Candidate;
+    const Micros least = asksFirst ? kFirstAskLeast : m_options.electionTimeoutLeast;
+    const Micros most = asksFirst ? kFirstAskMost : m_options.electionTimeoutMost;
+    boost::random::uniform_int_distribution<Micros::rep> distribution(least.count(), most.count());
     m_electionDeadline = m_now + Micros { distribution(m_random) };
 }
 
@@ -39,24 +50,27 @@
 // depose a leader when it returns.
 void ControlReducer::startElection(bool preVote)
 {
+    m_role = preVote ? Role::PreCandidate : Role::Candidate;
     restartElectionTimer();
     m_leader.reset();
     m_grants.clear();
+    m_notLeading.clear();
     if (preVote) {
-        m_role = Role::PreCandidate;
-        m_grants[m_options.name] = m_repair;
+        m_voterStarts.clear();
+        m_grants[m_options.name] = { m_repair, promisesUnknown() };
     } else {
-        m_role = Role::Candidate;
         ++m_term;
         m_votedFor = m_options.name;
         writeHardState();
         m_ownVoteWrite = m_hardStateWrite;
         log(kElectionStarted, { { "term", fmt::to_string(m_term) }, { "last_index", fmt::to_string(m_log.lastIndex()) } });
     }
-    const VoteRequest request { preVote ? m_term + 1 : m_term, preVote, m_log.lastIndex(), m_log.lastTerm() };
+    VoteRequest request { preVote ? m_term + 1 : m_term, preVote, m_log.lastIndex(), m_log.lastTerm() };
     for (const InstanceName& voter : members().voters) {
         if (voter == m_options.name)
             continue;
+        const auto start = m_voterStarts.find(voter);
+        request.receiverStart = start == m_voterStarts.end() ? 0 : start->second;
         if (preVote)
             send(voter, request);
         else
@@ -72,10 +86,27 @@
     return m_leaderContact && m_now - *m_leaderContact < m_options.electionTimeoutLeast;
 }
 
+// Promises to a leader are not on disk. For one election time-out after a restart they may still bind the replica.
+bool ControlReducer::promisesUnknown() const
+{
+    return m_started && m_role != Role::Leader && !m_leaderContact && m_now - m_startedAt < m_options.electionTimeoutLeast;
+}
+
+// True if every other voter stated in this election that it does not lead. A lease of a leader that this replica or another
+// voter supported before its restart has ended then: its holder is a voter, and whoever leads later needs new support, which a
+// voter does not give between its statement and its vote.
+bool ControlReducer::noVoterLeads() const
+{
+    return std::all_of(members().voters.begin(), members().voters.end(), [this](const InstanceName& voter) { return voter == m_options.name || m_notLeading.contains(voter); });
+}
+
 bool ControlReducer::mayGrant(const InstanceName& from, const VoteRequest& request) const
 {
     if (m_storageFailed || leaderIsRecent() || (m_repair != 0 && !m_options.bootstrap))
         return false;
+    // A conditional vote must come from the start that took part in the pre-vote: a later one may have supported a leader since.
+    if (!request.preVote && promisesUnknown() && request.receiverStart != m_options.seed)
+        return false;
     if (std::pair(request.lastTerm, request.lastIndex) < std::pair(m_log.lastTerm(), m_log.lastIndex()))
         return false;
     if (request.preVote)
@@ -87,15 +118,16 @@
 {
     if (request.preVote) {
         const bool granted = mayGrant(from, request);
-        send(from, VoteReply { granted ? request.term : m_term, true, granted, m_repair });
+        send(from, VoteReply { granted ? request.term : m_term, true, granted, m_repair, m_options.seed, promisesUnknown(), m_role == Role::Leader });
         return;
     }
     // While a leader may hold a lease that this replica supported, a request for a vote changes nothing here.
-    if (leaderIsRecent())
+    if (leaderIsRecent() || (promisesUnknown() && request.receiverStart != m_options.seed))
         return;
     if (request.term > m_term)
         becomeFollower(request.term, std::nullopt);
     const bool granted = mayGrant(from, request);
+    const bool conditional = promisesUnknown();
     if (granted) {
         if (!m_votedFor) {
             m_votedFor = from;
@@ -104,20 +136,25 @@
         restartElectionTimer();
         log(kVoteGranted, { { "term", fmt::to_string(m_term) }, { "candidate", from } });
     }
-    sendAfterSync(from, VoteReply { m_term, false, granted, m_repair });
+    sendAfterSync(from, VoteReply { m_term, false, granted, m_repair, m_options.seed, conditional, m_role == Role::Leader });
 }
 
 void ControlReducer::onMessage(const InstanceName& from, const VoteReply& reply)
 {
-    if (!reply.granted) {
-        if (reply.term > m_term)
-            becomeFollower(reply.term, std::nullopt);
+    if (!reply.granted && reply.term > m_term) {
+        becomeFollower(reply.term, std::nullopt);
         return;
     }
-    const bool matches = reply.preVote ? m_role == Role::PreCandidate && reply.term == m_term + 1 : m_role == Role::Candidate && reply.term == m_term;
+    // A replica that refuses a pre-vote names its own term.
+    const bool matches = reply.preVote ? m_role == Role::PreCandidate && (!reply.granted || reply.term == m_term + 1) : m_role == Role::Candidate && reply.term == m_term;
     if (!matches)
         return;
-    m_grants[from] = reply.repair;
+    if (reply.preVote)
+        m_voterStarts[from] = reply.start;
+    if (!reply.leads)
+        m_notLeading.insert(from);
+    if (reply.granted)
+        m_grants[from] = { reply.repair, reply.conditional };
     continueElection();
 }
 
@@ -125,7 +162,7 @@
 {
     if (m_role != Role::Candidate || m_syncedWrite < m_ownVoteWrite)
         return;
-    m_grants[m_options.name] = m_repair;
+    m_grants[m_options.name] = { m_repair, promisesUnknown() };
     continueElection();
 }
 
@@ -137,10 +174,10 @@
     std::size_t intact = 0;
     for (const InstanceName& voter : members().voters) {
         const auto it = m_grants.find(voter);
-        if (it == m_grants.end())
+        if (it == m_grants.end() || (it->second.conditional && !noVoterLeads()))
             continue;
         ++granted;
-        if (it->second == 0)
+        if (it->second.repair == 0)
             ++intact;
     }
     return (m_repair == 0 && intact >= members().majority()) || granted == members().voters.size();
@@ -171,9 +208,9 @@
     if (unanimous) {
         for (auto& [name, progress] : m_progress) {
             const auto grant = m_grants.find(name);
-            if (grant == m_grants.end() || grant->second == 0)
+            if (grant == m_grants.end() || grant->second.repair == 0)
                 continue;
-            progress.repair = grant->second;
+            progress.repair = grant->second.repair;
             progress.repairIndex = lastIndex;
             progress.repairAnnounced = true;
         }
--- a/control/control_reducer.cpp
+++ b/control/control_reducer.cpp
@@ -27,6 +27,7 @@
         checkTimers();
     std::visit([this](const auto& content) { on(content); }, event);
     afterEvent();
+    noteLeader();
     return std::exchange(m_effects, {});
 }
 
@@ -50,8 +51,7 @@
         m_log.append(entry);
     m_writtenIndex = m_log.lastIndex();
     m_syncedIndex = m_log.lastIndex();
-    // Promises to a leader are not on disk. The replica keeps them by granting nothing for one election time-out.
-    m_leaderContact = m_now;
+    m_startedAt = m_now;
     restartElectionTimer();
     log(kReplicaStarted, { { "term", fmt::to_string(m_term) }, { "last_index", fmt::to_string(m_log.lastIndex()) }, { "empty", recovered.empty ? "true" : "false" } });
     if (recovered.empty)
@@ -203,6 +203,15 @@
     m_effects.emplace_back(DocumentCommitted { version });
 }
 
+void ControlReducer::noteLeader()
+{
+    if (m_leader == m_toldLeader && m_leaseHeld == m_toldLease)
+        return;
+    m_toldLeader = m_leader;
+    m_toldLease = m_leaseHeld;
+    m_effects.emplace_back(LeaderChanged { m_leaseHeld });
+}
+
 void ControlReducer::compactIfDue()
 {
     const std::size_t records = state().changes.size() + state().claims.size() + state().configuration.classes.size();
--- a/control/control_reducer.h
+++ b/control/control_reducer.h
@@ -115,6 +115,7 @@
     void respond(RequestToken token, CommandResult result);
     void advanceCommit(LogIndex index);
     void noteDocument(std::uint64_t before);
+    void noteLeader();
     void compactIfDue();
     const Members& members() const { return m_log.members(); }
     bool isVoter() const { return members().voters.contains(m_options.name); }
@@ -134,6 +135,8 @@
     void stepDown(std::string_view reason);
     void adoptTerm(Term term);
     bool leaderIsRecent() const;
+    bool promisesUnknown() const;
+    bool noVoterLeads() const;
     void startRepair(std::string_view reason);
     void completeRepair(const InstanceName& leader);
 
@@ -173,6 +176,9 @@
     Random m_random;
     TimePoint m_now;
     std::vector<Effect> m_effects;
+    // What the last LeaderChanged told.
+    std::optional<InstanceName> m_toldLeader;
+    bool m_toldLease = false;
 
     // Persistent, apart from the log.
     Term m_term = 0;
@@ -201,10 +207,20 @@
     bool m_started = false;
     Role m_role = Role::Follower;
     std::optional<InstanceName> m_leader;
+    TimePoint m_startedAt;
+    // Since the start.
     std::optional<TimePoint> m_leaderContact;
     TimePoint m_electionDeadline = kNever;
-    // Grants of the running election and the repair number of each voter.
-    std::map<InstanceName, std::uint64_t> m_grants;
+    // The running election.
+    struct Grant {
+        std::uint64_t repair = 0;
+        bool conditional = false;
+    };
+    std::map<InstanceName, Grant> m_grants;
+    // The other voters that stated in this election that they do not lead.
+    std::set<InstanceName> m_notLeading;
+    // The start of each voter that replied to the last pre-vote.
+    std::map<InstanceName, std::uint64_t> m_voterStarts;
     std::uint64_t m_ownVoteWrite = 0;
 
     // Leader.
--- a/control/messages.h
+++ b/control/messages.h
@@ -184,6 +184,8 @@
     bool preVote = false;
     LogIndex lastIndex = 0;
     Term lastTerm = 0;
+    // The receiver's start that replied to the pre-vote. Only that start may give a conditional vote.
+    std::uint64_t receiverStart = 0;
 };
 
 struct VoteReply {
@@ -192,6 +194,11 @@
     bool granted = false;
     // Non-zero if the voter's disk was empty: the vote counts only in an election that every voter grants.
     std::uint64_t repair = 0;
+    // Tells this start of the voter's process from every other one.
+    std::uint64_t start = 0;
+    // The voter has restarted and does not know which leader it supported before. Its vote counts only if no voter leads.
+    bool conditional = false;
+    bool leads = false;
 };
 
 struct AppendRequest {
@@ -294,6 +301,11 @@
     std::uint64_t version = 0;
 };
 
+// Another replica leads as far as this one knows, or its own lease began or ended.
+struct LeaderChanged {
+    bool leads = false;
+};
+
 enum class Role {
     Follower,
     PreCandidate,
@@ -310,7 +322,7 @@
     { Role::Learner, "learner" },
 } };
 
-using Effect = std::variant<SendToPeer, WriteJournal, Respond, ConfigurationCommitted, DocumentCommitted, LogEvent>;
+using Effect = std::variant<SendToPeer, WriteJournal, Respond, ConfigurationCommitted, DocumentCommitted, LeaderChanged, LogEvent>;
 
 // What the leader knows of another member.
 struct MemberHealth {
--- a/control/serialization.cpp
+++ b/control/serialization.cpp
@@ -166,13 +166,13 @@
 template <typename Archive>
 void serialize(Archive& archive, VoteRequest& message)
 {
-    archive(message.term, message.preVote, message.lastIndex, message.lastTerm);
+    archive(message.term, message.preVote, message.lastIndex, message.lastTerm, message.receiverStart);
 }
 
 template <typename Archive>
 void serialize(Archive& archive, VoteReply& message)
 {
-    archive(message.term, message.preVote, message.granted, message.repair);
+    archive(message.term, message.preVote, message.granted, message.repair, message.start, message.conditional, message.leads);
 }
 
 template <typename Archive>
--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -15,8 +15,8 @@
     constexpr std::chrono::milliseconds kKeepAlive { 1'000 };
     constexpr std::chrono::milliseconds kSilenceLimit { 1'500 };
     constexpr Micros kPauseAfterFailure { 100'000 };
-    // An election takes longer than this, so asking more often brings nothing.
-    constexpr Micros kPauseWithoutLeader { 250'000 };
+    // A control instance without a leader lets a watcher wait before it answers, so little more is added here.
+    constexpr Micros kPauseWithoutLeader { 50'000 };
     // Replicas that name each other as leader are given up after this many steps.
     constexpr unsigned kMostRedirects = 3;
 
--- a/main/control_runtime.cpp
+++ b/main/control_runtime.cpp
@@ -174,6 +174,9 @@
     } else if (const control::DocumentCommitted* document = std::get_if<control::DocumentCommitted>(&effect)) {
         if (m_onDocument)
             m_onDocument(document->version);
+    } else if (const control::LeaderChanged* change = std::get_if<control::LeaderChanged>(&effect)) {
+        if (m_onLeader)
+            m_onLeader(change->leads);
     } else if (const LogEvent* event = std::get_if<LogEvent>(&effect)) {
         m_sink.log(*event);
     }
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -92,6 +92,12 @@
         handlers.peer = [this](const InstanceName& from, control::PeerMessage message) { runtime.receive(from, std::move(message)); };
         handlers.join = [this](const InstanceName& name) { steward.noteJoin(name, transport::monotonicNow()); };
         handlers.watch = [this](control::WatchRequest request, transport::FrameResponder respond) { publisher.watch(std::move(request), std::move(respond)); };
+        runtime.onLeader([this](bool leads) {
+            publisher.leaderChanged(leads);
+            // A new leader fetches the list of servers without waiting for the next tick.
+            if (leads)
+                look();
+        });
         runtime.onDocument([this](std::uint64_t) { publisher.documentChanged(); });
         runtime.start();
         links.start(std::move(handlers));
@@ -102,11 +108,16 @@
     {
         links.loop().after(kTick, [this] {
             publisher.tick();
-            runtime.view([this](const control::ControlReducer& reducer, TimePoint now) { look(reducer, now); });
+            look();
             scheduleTick();
         });
     }
 
+    void look()
+    {
+        runtime.view([this](const control::ControlReducer& reducer, TimePoint now) { look(reducer, now); });
+    }
+
     // Runs on the control thread and hands over to the frame loop.
     void look(const control::ControlReducer& reducer, TimePoint now)
     {
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -13,6 +13,10 @@
 namespace {
     // Shorter than the watcher's time-out, so that a silent leader is noticed by the missing answer.
     constexpr Micros kMostWait { 400'000 };
+    // Without a leader a watcher waits here for one, but not so long that it is kept from the part of a group that has one.
+    constexpr Micros kMostWaitWithoutLeader { 150'000 };
+    // The leader fetches the list each second, so an older one is from before another instance led.
+    constexpr Micros kMostListAge { 2'000'000 };
     // An entry instance that has not asked for this long no longer counts for the shares of the others.
     constexpr Micros kEntryLifetime { 6'000'000 };
 
@@ -45,11 +49,14 @@
         const control::ReplicaStatus status = reducer.status(now);
         const control::HeldDocument& document = reducer.state().document;
         const bool leads = status.role == control::Role::Leader && status.leaseValid;
-        const bool news = document.version > waiting.request.documentVersion;
+        const bool withoutLeader = !leads && (!status.leader || status.role == control::Role::Leader);
+        const bool news = leads && document.version > waiting.request.documentVersion;
         control::HeldDocument held { document.version, news ? document.content : std::string {} };
-        m_loop.post([this, waiting, status, held = std::move(held), wait = mayWait && leads && !news] {
-            if (wait && (!m_history.known() || waiting.request.list == m_history.version()))
-                m_waiting.push_back(waiting);
+        m_loop.post([this, waiting, status, held = std::move(held), leads, withoutLeader, wait = mayWait && !news]() mutable {
+            const bool listNews = leads && m_history.known() && waiting.request.list != m_history.version();
+            waiting.withoutLeader = withoutLeader;
+            if (wait && (withoutLeader || (leads && !listNews)))
+                m_waiting.push_back(std::move(waiting));
             else
                 reply(waiting, status, held);
         });
@@ -72,7 +79,7 @@
     if (!document.content.empty())
         reply.document = document.content;
     reply.list = m_history.version();
-    if (m_history.known() && waiting.request.list != reply.list) {
+    if (reply.leads && m_history.known() && waiting.request.list != reply.list) {
         reply.serverChanges = m_history.changesSince(waiting.request.list);
         if (!reply.serverChanges)
             reply.servers = m_history.servers();
@@ -115,12 +122,23 @@
         answer(std::move(waiting), false);
 }
 
+void FeedPublisher::leaderChanged(bool leads)
+{
+    m_loop.post([this, leads] {
+        // A list from an earlier time as leader would bring back servers that have left since.
+        if (leads && transport::monotonicNow() - m_listedAt > kMostListAge)
+            m_history = control::ServerListHistory(drawEpoch());
+        for (Waiting& waiting : std::exchange(m_waiting, {}))
+            answer(std::move(waiting), true);
+    });
+}
+
 void FeedPublisher::tick()
 {
     const TimePoint now = transport::monotonicNow();
     std::vector<Waiting> due;
     std::erase_if(m_waiting, [&](Waiting& waiting) {
-        if (now - waiting.since < kMostWait)
+        if (now - waiting.since < (waiting.withoutLeader ? kMostWaitWithoutLeader : kMostWait))
             return false;
         due.push_back(std::move(waiting));
         return true;
--- a/main/feed_publisher.h
+++ b/main/feed_publisher.h
@@ -14,8 +14,8 @@
 
 namespace curranttrail {
 
-// Answers the entry instances that watch this control instance: at once if there is news or this instance does not lead, else
-// when news comes or after a while. All functions run on the frame loop's thread unless they say otherwise.
+// Answers the entry instances that watch this control instance: at once if there is news or another instance leads, else when
+// that comes or after a while. All functions run on the frame loop's thread unless they say otherwise.
 class FeedPublisher {
 public:
     FeedPublisher(transport::FrameLoop& loop, ControlRuntime& runtime, transport::EventSink& sink);
@@ -25,6 +25,8 @@
     void setServers(routing::ServerList servers);
     // Answers all that wait, because a document was committed. May be called from any thread.
     void documentChanged();
+    // Looks again at all that wait, because another instance leads or this one does. May be called from any thread.
+    void leaderChanged(bool leads);
     // Answers those that have waited for long.
     void tick();
 
@@ -33,6 +35,8 @@
         control::WatchRequest request;
         transport::FrameResponder respond;
         TimePoint since;
+        // Whether no instance led when it began to wait.
+        bool withoutLeader = false;
     };
 
     void answer(Waiting waiting, bool mayWait);
--- a/main/server_list_poller.cpp
+++ b/main/server_list_poller.cpp
@@ -14,6 +14,9 @@
     constexpr Micros kPageLimit { 800'000 };
     // The part of the shared call rate that one pass may use, so that instances that take over from each other stay within it.
     constexpr double kUsedShareOfRate = 0.6;
+    // The first pages of a pass, up to this part of the calls of a second, follow each other without a pause: a new leader serves
+    // only once it has the list. Two passes within a second stay below the rate.
+    constexpr double kUnpacedShareOfRate = 0.3;
     constexpr std::size_t kMostPages = 1'000;
 }
 
@@ -22,6 +25,7 @@
         : threads(io)
         , address(std::move(endpoint))
         , pagePause(static_cast<std::int64_t>(1e6 / (callsPerSecond * kUsedShareOfRate)))
+        , unpacedPages(static_cast<std::size_t>(callsPerSecond * kUnpacedShareOfRate))
         , sink(eventSink)
         , callback(std::move(deliver))
         , client(io, { 4u << 20, 1, std::chrono::milliseconds { 4'000 } })
@@ -53,7 +57,11 @@
         unreadable += page.unreadable;
         for (routing::ServerRecord& record : page.servers)
             servers.push_back(std::move(record));
-        if (page.nextToken && ++pages < kMostPages) {
+        if (page.nextToken && ++pages < unpacedPages) {
+            fetch(*page.nextToken);
+            return;
+        }
+        if (page.nextToken && pages < kMostPages) {
             threads.after(pagePause, [weak = weak_from_this(), token = *page.nextToken] {
                 if (const std::shared_ptr<State> self = weak.lock())
                     self->fetch(token);
@@ -89,6 +97,7 @@
     transport::IoThreads& threads;
     const transport::Endpoint address;
     const Micros pagePause;
+    const std::size_t unpacedPages;
     transport::EventSink& sink;
     Callback callback;
     transport::HttpClient client;
--- a/tests/control/control_faults_test.cpp
+++ b/tests/control/control_faults_test.cpp
@@ -14,12 +14,18 @@
 
 constexpr Micros kSecond { 1'000'000 };
 
+struct FaultOptions {
+    bool changesMembers = false;
+    // Also crashes replicas that are back within less than an election time-out, several of them at about the same time.
+    bool restartsAtOnce = false;
+};
+
 // Faults at random times. At most a minority of the voters is without its disk's content at any time.
 class FaultSchedule {
 public:
-    FaultSchedule(ControlWorld& world, bool changesMembers)
+    FaultSchedule(ControlWorld& world, FaultOptions options)
         : m_world(world)
-        , m_changesMembers(changesMembers)
+        , m_options(options)
     {
     }
 
@@ -56,8 +62,28 @@
         }
     }
 
+    void restartAtOnce()
+    {
+        for (std::size_t n = 0; n < m_world.size(); ++n) {
+            if (!m_world.isUp(n) || m_world.below(4) == 0)
+                continue;
+            m_world.after(between(0, 30'000), [this, n] {
+                if (m_world.isUp(n))
+                    m_world.crash(n, false);
+            });
+            m_world.after(between(31'000, 200'000), [this, n] {
+                if (!m_world.isUp(n))
+                    m_world.restart(n);
+            });
+        }
+    }
+
     void strike()
     {
+        if (m_options.restartsAtOnce && m_world.below(3) == 0) {
+            restartAtOnce();
+            return;
+        }
         const std::size_t replica = m_world.below(m_world.size());
         const std::size_t other = m_world.below(m_world.size());
         switch (m_world.below(13)) {
@@ -97,7 +123,7 @@
             m_world.after(between(200'000, 3'000'000), [this, replica] { m_world.failDisk(replica, 0); });
             break;
         case 12:
-            if (m_changesMembers)
+            if (m_options.changesMembers)
                 changeMembers(replica);
             break;
         default:
@@ -107,7 +133,7 @@
 
     void loseDisk(std::size_t replica)
     {
-        if (!m_lost.empty() && !(m_world.size() == 5 && !m_changesMembers && m_lost.size() < 2))
+        if (!m_lost.empty() && !(m_world.size() == 5 && !m_options.changesMembers && m_lost.size() < 2))
             return;
         m_lost.insert(replica);
         ++m_disksLost;
@@ -134,7 +160,7 @@
     }
 
     ControlWorld& m_world;
-    bool m_changesMembers;
+    FaultOptions m_options;
     bool m_running = true;
     std::set<std::size_t> m_lost;
     std::size_t m_disksLost = 0;
@@ -164,7 +190,7 @@
 }
 
 // Returns what went wrong, or an empty string.
-std::string runSeed(std::uint64_t seed, std::size_t replicas, bool changesMembers)
+std::string runSeed(std::uint64_t seed, std::size_t replicas, FaultOptions faultOptions)
 {
     ControlWorld::Options options;
     options.seed = seed;
@@ -176,7 +202,7 @@
     if (!world.runUntil([&] { return allVote(world); }, 10 * kSecond))
         return "the group was not founded " + world.violation();
     Operators operators(world);
-    FaultSchedule faults(world, changesMembers);
+    FaultSchedule faults(world, faultOptions);
     operators.start(Micros { 200'000 }, Micros { 150'000 });
     faults.start();
     world.runFor(30 * kSecond);
@@ -204,12 +230,12 @@
     return text ? std::strtoull(text, nullptr, 10) : byDefault;
 }
 
-void runSeeds(std::uint64_t count, std::size_t replicas, bool changesMembers)
+void runSeeds(std::uint64_t count, std::size_t replicas, FaultOptions options)
 {
     const char* only = std::getenv("CONTROL_SEED");
     const std::uint64_t first = only ? std::strtoull(only, nullptr, 10) : 1;
     for (std::uint64_t seed = first; seed < first + (only ? 1 : count); ++seed) {
-        const std::string problem = runSeed(seed, replicas, changesMembers);
+        const std::string problem = runSeed(seed, replicas, options);
         BOOST_TEST(problem.empty(), "seed " << seed << " with " << replicas << " replicas: " << problem);
     }
 }
@@ -219,12 +245,40 @@
 BOOST_AUTO_TEST_SUITE(ControlFaults)
 
 // Guards against lost or altered commits, two leaders, two leases, lost answers and doubled grants under all faults at once.
-BOOST_AUTO_TEST_CASE(ThreeReplicasKeepTheirPromises) { runSeeds(seedCount(40), 3, false); }
+BOOST_AUTO_TEST_CASE(ThreeReplicasKeepTheirPromises) { runSeeds(seedCount(40), 3, {}); }
 
 // Guards against the same with two disks lost at a time.
-BOOST_AUTO_TEST_CASE(FiveReplicasKeepTheirPromises) { runSeeds(seedCount(20), 5, false); }
+BOOST_AUTO_TEST_CASE(FiveReplicasKeepTheirPromises) { runSeeds(seedCount(20), 5, {}); }
 
 // Guards against the same while replicas are removed, added as learners and promoted.
-BOOST_AUTO_TEST_CASE(ChangingMembersKeepTheirPromises) { runSeeds(seedCount(20), 5, true); }
+BOOST_AUTO_TEST_CASE(ChangingMembersKeepTheirPromises) { runSeeds(seedCount(20), 5, { .changesMembers = true }); }
+
+// Guards against two leases at once when replicas that do not know their promises vote soon after a restart.
+BOOST_AUTO_TEST_CASE(QuickRestartsKeepTheirPromises)
+{
+    runSeeds(seedCount(30), 3, { .restartsAtOnce = true });
+    runSeeds(seedCount(15), 4, { .changesMembers = true, .restartsAtOnce = true });
+}
+
+// Guards against service that waits for an election time-out, 300 ms, after all replicas were lost for a moment.
+BOOST_AUTO_TEST_CASE(ALeaderIsThereSoonAfterAllRestartTogether)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        ControlWorld::Options options;
+        options.seed = seed;
+        options.replicas = 3 + seed % 3;
+        ControlWorld world(options);
+        BOOST_REQUIRE(world.runUntil([&] { return allVote(world); }, 10 * kSecond));
+        for (std::size_t n = 0; n < world.size(); ++n)
+            world.crash(n, seed % 2 == 0);
+        if (seed % 5 == 0)
+            world.disk(seed % world.size()).erase();
+        world.runFor(kSecond);
+        for (std::size_t n = 0; n < world.size(); ++n)
+            world.restart(n);
+        BOOST_TEST(world.runUntil([&] { return world.leader().has_value(); }, Micros { 300'000 }), "seed " << seed);
+        BOOST_TEST(world.violation().empty(), world.violation());
+    }
+}
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/control/control_probe.h
+++ b/tests/control/control_probe.h
@@ -30,8 +30,13 @@
             for (const InstanceName& name : *names)
                 text += name;
         }
-        for (const auto& [name, repair] : reducer.m_grants)
-            text += fmt::format("g{}{}", name, repair);
+        for (const auto& [name, grant] : reducer.m_grants)
+            text += fmt::format("g{}{}{}", name, grant.repair, grant.conditional);
+        for (const InstanceName& name : reducer.m_notLeading)
+            text += fmt::format("n{}", name);
+        for (const auto& [name, start] : reducer.m_voterStarts)
+            text += fmt::format("s{}{}", name, start);
+        text += fmt::format("u{}", reducer.promisesUnknown() ? age(reducer.m_startedAt) : 0);
         if (reducer.m_role != Role::Leader)
             return text;
         text += fmt::format("|{} {} {}", reducer.m_termStart, age(reducer.m_leaderSince), reducer.m_leaseHeld);
--- a/tests/control/control_reducer_test.cpp
+++ b/tests/control/control_reducer_test.cpp
@@ -138,6 +138,54 @@
     BOOST_TEST(std::get<AppendReply>(std::get<SendToPeer>(effects[0]).message).matchIndex == 2u);
 }
 
+// Guards against a vote of a replica that restarted, supported a leader after its statement and restarted again, and against
+// a lease that such a vote would overlap.
+BOOST_AUTO_TEST_CASE(AVoteSoonAfterARestartIsConditional)
+{
+    Single voter;
+    voter.now -= Micros { 295'000 };
+    const auto repliesTo = [&voter](const VoteRequest& request) {
+        std::vector<VoteReply> replies;
+        std::vector<Effect> effects = voter.receive(request);
+        for (std::uint64_t write = 1; write < 9; ++write) {
+            for (Effect& effect : voter.reducer.handle(WriteSynced { write }, voter.now))
+                effects.push_back(std::move(effect));
+        }
+        for (const Effect& effect : effects) {
+            const SendToPeer* message = std::get_if<SendToPeer>(&effect);
+            if (message && std::holds_alternative<VoteReply>(message->message))
+                replies.push_back(std::get<VoteReply>(message->message));
+        }
+        return replies;
+    };
+    const std::vector<VoteReply> asked = repliesTo({ 2, true, 1, 1 });
+    BOOST_REQUIRE(asked.size() == 1u);
+    BOOST_TEST((asked[0].granted && asked[0].conditional && !asked[0].leads));
+    BOOST_TEST(repliesTo({ 2, false, 1, 1, asked[0].start + 1 }).empty());
+    const std::vector<VoteReply> voted = repliesTo({ 2, false, 1, 1, asked[0].start });
+    BOOST_REQUIRE(voted.size() == 1u);
+    BOOST_TEST((voted[0].granted && voted[0].conditional));
+    voter.receive(AppendRequest { .term = 2, .previousIndex = 1, .previousTerm = 1, .round = 1 });
+    BOOST_TEST(repliesTo({ 3, false, 1, 1, asked[0].start }).empty());
+}
+
+// Guards against an election by conditional votes while a voter leads or has not stated that it does not.
+BOOST_AUTO_TEST_CASE(ConditionalVotesCountOnceNoVoterLeads)
+{
+    const auto roleAfter = [](std::optional<bool> thirdLeads) {
+        Single candidate;
+        candidate.now -= Micros { 195'000 };
+        candidate.reducer.handle(Tick {}, candidate.now);
+        candidate.receive(VoteReply { 2, true, true, 0, 7, true, false }, "r1");
+        if (thirdLeads)
+            candidate.receive(VoteReply { 1, true, false, 0, 8, false, *thirdLeads }, "r2");
+        return candidate.reducer.status(candidate.now).role;
+    };
+    BOOST_TEST((roleAfter(std::nullopt) == Role::PreCandidate));
+    BOOST_TEST((roleAfter(true) == Role::PreCandidate));
+    BOOST_TEST((roleAfter(false) == Role::Candidate));
+}
+
 // Guards against a second vote in a term, and against a vote while a leader may hold a lease that rests on this replica.
 BOOST_AUTO_TEST_CASE(VotesAreWithheld)
 {
--- a/tests/control/model_check_test.cpp
+++ b/tests/control/model_check_test.cpp
@@ -103,7 +103,7 @@
     void elect(World& world)
     {
         const bool keepsOlder = std::exchange(m_limits.keepsOlder, false);
-        timeOut(world, 0);
+        askEarly(world, 0);
         while (!world.messages.empty()) {
             const Message message = world.messages.front();
             world.messages.erase(world.messages.begin());
@@ -130,6 +130,19 @@
         handle(world, replica, Tick {}, false);
     }
 
+    // A replica that has just started asks for votes while the others do not know their promises either.
+    void askEarly(World& world, std::size_t replica)
+    {
+        Replica& target = world.replicas[replica];
+        target.clock = target.reducer->nextWakeup();
+        handle(world, replica, Tick {}, false);
+    }
+
+    static bool mayAskEarly(const Replica& replica)
+    {
+        return replica.reducer->status(replica.clock).role != Role::Leader && replica.reducer->nextWakeup() - replica.clock <= Micros { 100'000 };
+    }
+
     void start(World& world, std::size_t replica)
     {
         ControlOptions options;
@@ -308,6 +321,12 @@
             timeOut(next, replica);
             reach(std::move(next));
         }
+        if (world.budget.timeouts > 0 && replica < m_limits.candidates && mayAskEarly(world.replicas[replica])) {
+            World next = world;
+            --next.budget.timeouts;
+            askEarly(next, replica);
+            reach(std::move(next));
+        }
         if (world.budget.heartbeats > 0 && role == Role::Leader) {
             World next = world;
             --next.budget.heartbeats;
