Send documents in the seeded fault worlds, with groups of 3, 4 and 8 and the steward

Change: DocumentOperators send versions that rise in uneven steps, sometimes two contents of one version, and check that what was acknowledged is in force under every valid lease and at every survivor, and that a version has one content. StewardedGroup runs the steward at the leader.

Replicas at other addresses are not simulated there.

--- a/tests/control/control_faults_test.cpp
+++ b/tests/control/control_faults_test.cpp
@@ -1,10 +1,14 @@
+#include "tests/control/document_operators.h"
 #include "tests/control/operators.h"
+#include "tests/control/stewarded_group.h"
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstdlib>
 #include <string>
+#include <utility>
 
 using namespace curranttrail;
 using namespace curranttrail::control;
@@ -224,6 +228,36 @@
     return world.violation();
 }
 
+// A group that three replicas found, that the steward completes, and in which documents change under all faults.
+std::string runDocumentSeed(std::uint64_t seed, std::size_t replicas, std::size_t lostDisks)
+{
+    ControlWorld::Options options;
+    options.seed = seed;
+    options.traces = std::getenv("CONTROL_TRACE") != nullptr;
+    options.replicas = replicas;
+    options.founders = 3;
+    options.compactionEntries = seed % 2 == 0 ? 16 : 48;
+    ControlWorld world(options);
+    StewardedGroup group(world, std::max<std::size_t>(3, 2 * lostDisks + 1));
+    group.start();
+    if (!world.runUntil([&] { return group.isComplete(); }, 20 * kSecond))
+        return "the group was not completed " + world.violation();
+    DocumentOperators operators(world);
+    FaultSchedule faults(world, { .restartsAtOnce = seed % 2 == 0 });
+    operators.start(Micros { 150'000 });
+    faults.start();
+    world.runFor(30 * kSecond);
+    faults.stop();
+    operators.stop();
+    if (!world.runUntil([&] { return operators.settled() && group.isComplete() && allAgree(world); }, 60 * kSecond))
+        return world.violation().empty() ? "the group did not recover" : world.violation();
+    if (operators.acknowledged() == 0)
+        return "no document was acknowledged";
+    for (std::size_t n = 0; n < world.size(); ++n)
+        operators.checkSurvivor(n);
+    return world.violation();
+}
+
 std::uint64_t seedCount(std::uint64_t byDefault)
 {
     const char* text = std::getenv("CONTROL_SEEDS");
@@ -260,6 +294,20 @@
     runSeeds(seedCount(15), 4, { .changesMembers = true, .restartsAtOnce = true });
 }
 
+// Guards against documents that are lost, altered or older under a valid lease, in groups of the sizes that deployments have and
+// with members that the steward takes in and drops.
+BOOST_AUTO_TEST_CASE(DocumentsSurviveInGroupsOfSeveralSizes)
+{
+    const char* only = std::getenv("CONTROL_SEED");
+    for (const auto& [replicas, lostDisks] : { std::pair<std::size_t, std::size_t> { 3, 1 }, { 4, 1 }, { 8, 2 } }) {
+        const std::uint64_t first = only ? std::strtoull(only, nullptr, 10) : 1;
+        for (std::uint64_t seed = first; seed < first + (only ? 1 : seedCount(12)); ++seed) {
+            const std::string problem = runDocumentSeed(seed, replicas, lostDisks);
+            BOOST_TEST(problem.empty(), "seed " << seed << " with " << replicas << " replicas: " << problem);
+        }
+    }
+}
+
 // Guards against service that waits for an election time-out, 300 ms, after all replicas were lost for a moment.
 BOOST_AUTO_TEST_CASE(ALeaderIsThereSoonAfterAllRestartTogether)
 {
--- a/tests/control/control_world.cpp
+++ b/tests/control/control_world.cpp
@@ -154,10 +154,11 @@
     ControlOptions options;
     options.name = nameOf(replica);
     options.owner = "nile";
-    for (std::size_t n = 0; n < size(); ++n)
+    const std::size_t founders = m_options.founders == 0 ? size() : m_options.founders;
+    for (std::size_t n = 0; n < founders && replica < founders; ++n)
         options.initialVoters.insert(nameOf(n));
     options.seed = m_random();
-    options.bootstrap = m_options.bootstrapStaysSet || node.epoch == 0;
+    options.bootstrap = replica < founders && (m_options.bootstrapStaysSet || node.epoch == 0);
     options.compactionEntries = m_options.compactionEntries;
     options.retainedEntries = 16;
     node.reducer = std::make_unique<ControlReducer>(options);
@@ -308,6 +309,18 @@
     return node.reducer->status(localTime(node));
 }
 
+std::vector<MemberHealth> ControlWorld::memberHealth(std::size_t replica) const
+{
+    const Node& node = m_nodes[replica];
+    return node.reducer->memberHealth(localTime(node));
+}
+
+bool ControlWorld::isCut(std::size_t from, std::size_t to) const
+{
+    const auto it = m_cuts.find({ from, to });
+    return it != m_cuts.end() && it->second;
+}
+
 std::optional<std::size_t> ControlWorld::leader() const
 {
     for (std::size_t n = 0; n < size(); ++n) {
@@ -353,6 +366,8 @@
         ++valid;
         if (state(n).configuration.version.value < m_highestAccepted)
             fail(nameOf(n) + " has a valid lease and lacks an accepted change");
+        if (state(n).document.version < m_highestDocument)
+            fail(nameOf(n) + " has a valid lease and lacks an acknowledged document");
     }
     if (valid > 1)
         fail("two valid leases");
--- a/tests/control/control_world.h
+++ b/tests/control/control_world.h
@@ -23,6 +23,8 @@
 public:
     struct Options {
         std::size_t replicas = 3;
+        // The replicas that found the group; the others wait to be taken in. 0 for all.
+        std::size_t founders = 0;
         std::uint64_t seed = 1;
         bool bootstrapStaysSet = false;
         // Prints the events of all replicas to standard error.
@@ -68,11 +70,15 @@
     std::optional<std::size_t> leader() const;
     bool sawEvent(const EventDescription& description) const { return m_seenEvents.contains(description.number); }
     std::uint64_t messages() const { return m_messages; }
+    std::vector<control::MemberHealth> memberHealth(std::size_t replica) const;
+    bool membersRecorded(std::size_t replica) const { return m_nodes[replica].reducer->membersRecorded(); }
+    bool isCut(std::size_t from, std::size_t to) const;
     // Starts that found damage and set the files aside.
     std::uint64_t damagedStarts() const { return m_damagedStarts; }
 
     // The caller reports each accepted version, so that leaders can be checked against it.
     void noteAccepted(ConfigurationVersion version) { m_highestAccepted = std::max(m_highestAccepted, version.value); }
+    void noteAcceptedDocument(std::uint64_t version) { m_highestDocument = std::max(m_highestDocument, version); }
     const std::string& violation() const { return m_violation; }
     void fail(const std::string& text);
 
@@ -133,6 +139,7 @@
     std::map<std::uint64_t, std::string> m_configurations;
     std::map<control::LogIndex, std::string> m_states;
     std::uint64_t m_highestAccepted = 0;
+    std::uint64_t m_highestDocument = 0;
 };
 
 } // namespace curranttrail::tests
