Keep links open that only send, and repeat lost connection requests early

Logs: requests to connect to instances that were still down were lost, and their second try came after 0.6 s and a pause; links that were up were closed 450 ms later with "nothing came within the limit of silence".

Ruled out: slow processes; the silence is exactly the limit.

Change: a client also sends pings when nothing has come. The limit for connecting is a setting of its own, 200 ms between control instances and for watchers, and the pause between tries is at most 100 ms.

--- a/main/group_links.cpp
+++ b/main/group_links.cpp
@@ -19,8 +19,11 @@
     constexpr std::chrono::milliseconds kSilenceLimit { 450 };
     // The server side also serves entry instances, which send less often than replicas.
     constexpr std::chrono::milliseconds kServerSilenceLimit { 3'000 };
+    // Far longer than a round trip within a region. A request to connect that is lost, as to a machine that is about to start, is
+    // repeated by the system only after a second.
+    constexpr std::chrono::milliseconds kConnectLimit { 200 };
     constexpr std::chrono::milliseconds kHandshakeLimit { 600 };
-    constexpr std::chrono::milliseconds kMostBackoff { 250 };
+    constexpr std::chrono::milliseconds kMostBackoff { 100 };
     // Members come and go; clients of all that were ever seen are kept up to this number.
     constexpr std::size_t kMostClients = 64;
 
@@ -38,6 +41,7 @@
     options.maximumBody = kMostFrameBytes;
     options.keepAlive = kKeepAlive;
     options.silenceLimit = kSilenceLimit;
+    options.connectLimit = kConnectLimit;
     options.handshakeLimit = kHandshakeLimit;
     options.mostBackoff = kMostBackoff;
     options.stamp = [&sink] { return sink.clock().stamp(); };
--- a/tests/transport/frame_link_test.cpp
+++ b/tests/transport/frame_link_test.cpp
@@ -222,6 +222,61 @@
     BOOST_TEST((again.get_future().wait_for(kGenerous) == std::future_status::ready));
 }
 
+// Guards against a link that is closed as silent because its messages, which get no reply, come more often than pings.
+BOOST_AUTO_TEST_CASE(ALinkThatOnlySendsStaysOpen)
+{
+    FrameLoop loop;
+    std::atomic<int> received { 0 };
+    std::atomic<int> downs { 0 };
+    FrameServer server(loop, optionsFor("server"), "127.0.0.1", 0, [&](const IncomingFrame&, const FrameResponder&) { ++received; });
+    LinkOptions options = optionsFor("client");
+    options.keepAlive = std::chrono::milliseconds { 200 };
+    options.silenceLimit = std::chrono::milliseconds { 1'000 };
+    options.log = [&](const LogEvent& event) { downs += event.description->name == "link_down" ? 1 : 0; };
+    FrameClient client(loop, options, "127.0.0.1", server.port());
+    for (int n = 0; n < 50; ++n) {
+        client.send(1, "heartbeat");
+        std::this_thread::sleep_for(std::chrono::milliseconds { 50 });
+    }
+    BOOST_TEST(received > 0);
+    BOOST_TEST(downs == 0);
+}
+
+// Guards against a client that waits for long for an address that does not answer while its server is already back.
+BOOST_AUTO_TEST_CASE(AConnectionRequestWithoutAnAnswerIsRepeated)
+{
+    FrameLoop loop;
+    LinkOptions options = optionsFor("client");
+    options.connectLimit = std::chrono::milliseconds { 50 };
+    options.leastBackoff = options.mostBackoff = std::chrono::milliseconds { 10 };
+    // A listener whose queue is full drops the requests of others to connect.
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor full(context, { boost::asio::ip::address_v4::loopback(), 0 }, false);
+    full.listen(0);
+    std::vector<boost::asio::ip::tcp::socket> queue;
+    for (int n = 0; n < 4; ++n) {
+        boost::asio::ip::tcp::socket& socket = queue.emplace_back(context);
+        socket.open(boost::asio::ip::tcp::v4());
+        socket.non_blocking(true);
+        boost::system::error_code ec;
+        socket.connect(full.local_endpoint(), ec);
+    }
+    std::promise<void> up;
+    std::atomic<bool> seen { false };
+    options.log = [&](const LogEvent& event) {
+        if (event.description->name == "link_up" && !seen.exchange(true))
+            up.set_value();
+    };
+    const std::uint16_t port = full.local_endpoint().port();
+    FrameClient client(loop, options, "127.0.0.1", port);
+    std::this_thread::sleep_for(std::chrono::milliseconds { 200 });
+    queue.clear();
+    full.close();
+    FrameServer server(loop, optionsFor("server"), "127.0.0.1", port, [](const IncomingFrame&, const FrameResponder&) {});
+    // The system itself repeats the request after a second, then after two more.
+    BOOST_TEST((up.get_future().wait_for(std::chrono::milliseconds { 700 }) == std::future_status::ready));
+}
+
 // Guards against a crash at the end of a server: a link closed in the moment its handshake completed came back without a connection.
 BOOST_AUTO_TEST_CASE(AHandshakeLongerThanTheLimitOfSilenceLeavesNoLinkBehind)
 {
--- a/transport/frame_client.cpp
+++ b/transport/frame_client.cpp
@@ -72,7 +72,7 @@
     if (stopped)
         return;
     const std::shared_ptr<tcp::socket> socket = std::make_shared<tcp::socket>(context);
-    connectLimit.expires_after(options->handshakeLimit);
+    connectLimit.expires_after(options->connectLimit);
     connectLimit.async_wait([socket](boost::system::error_code ec) {
         boost::system::error_code ignored;
         if (!ec)
--- a/transport/frame_connection.cpp
+++ b/transport/frame_connection.cpp
@@ -255,7 +255,8 @@
         close("nothing came within the limit of silence");
         return;
     }
-    if (m_side == LinkSide::Client && now - m_lastSent >= m_options->keepAlive)
+    // One-way messages bring nothing back, so a link that is busy with them needs pings too.
+    if (m_side == LinkSide::Client && (now - m_lastSent >= m_options->keepAlive || now - m_lastReceived >= m_options->keepAlive))
         send(FrameKind::Ping, 0, 0, {});
     m_watch.expires_after(std::min(m_options->keepAlive, m_options->silenceLimit) / 2);
     m_watch.async_wait([self = shared_from_this()](boost::system::error_code ec) {
--- a/transport/frame_link.h
+++ b/transport/frame_link.h
@@ -29,11 +29,13 @@
     std::string clusterKey;
     // Larger bodies are refused before any memory is reserved for them.
     std::size_t maximumBody = 1 << 20;
+    // A client repeats a connection request that is not answered within this time.
+    std::chrono::milliseconds connectLimit { 2000 };
     // The time within which the handshake must be complete.
     std::chrono::milliseconds handshakeLimit { 2000 };
     // The time within which a frame must be complete once its first byte has come, or has been written.
     std::chrono::milliseconds frameLimit { 5000 };
-    // A client that has sent nothing for this long sends a ping.
+    // A client that has sent nothing, or to which nothing has come, for this long sends a ping.
     std::chrono::milliseconds keepAlive { 1000 };
     // A connection from which nothing has come for this long is closed; a client then opens a new one.
     std::chrono::milliseconds silenceLimit { 3000 };
