Do not trust the first view of the entry instances after a start

Ruled out: the shares by the complete view; instances that stay use two of three servers with one connection each.

Change: for 0.6 s after the first view an instance assumes 100 instances, and uses at most two servers of a collection with one connection each.

What remains are connections that servers still count for machines that lost power; open.

--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -87,9 +88,10 @@
     bool setInstances(std::vector<InstanceName> instances, TimePoint now);
     // Computes anew how many connections to each server this instance may hold.
     void updateAllowances(const std::map<CollectionName, CollectionSpec>& specs, TimePoint now);
-    bool expireShares(TimePoint now) { return m_shares.expire(now); }
+    // Returns whether shares must be computed anew because time has passed.
+    bool expireShares(TimePoint now);
     // The most instances of the last seconds, so that a view that is incomplete for a moment does not widen any share.
-    std::uint32_t instanceCount(TimePoint now) const { return m_shares.largestInstanceCount(now); }
+    std::uint32_t instanceCount(TimePoint now) const;
 
     Server* find(const std::string& instance);
     const std::vector<Server*>& of(const CollectionName& collection) const;
@@ -114,6 +116,9 @@
     const DataCentreName m_dataCentre;
     const InstanceName m_self;
     policy::ConnectionShares m_shares;
+    // Until then a leader that has just begun to lead may not have heard of all other instances.
+    std::optional<TimePoint> m_viewIncompleteUntil;
+    bool m_hasView = false;
     std::unordered_map<std::string, std::unique_ptr<Server>> m_servers;
     std::map<CollectionName, std::vector<Server*>> m_collections;
 };
--- a/tests/routing/load_patterns_test.cpp
+++ b/tests/routing/load_patterns_test.cpp
@@ -180,6 +180,34 @@
     }
 }
 
+// Pattern: all instances are back after a loss and the leader names few of them at first. Guards against all opening connections to
+// all servers at once, which the servers then reset.
+BOOST_AUTO_TEST_CASE(AFirstViewOfTheInstancesIsNotTrusted)
+{
+    const CrowdedFleet fleet(4);
+    TimePoint now { Micros { 1'000'000 } };
+    ServerTable table(CrowdedFleet::dataCentre(0, 4), fleet.names[0]);
+    table.setInstances({ fleet.names.begin(), fleet.names.begin() + 10 }, now);
+    table.apply(fleet.list, Micros { 0 }, now);
+    const auto mostConnections = [&] {
+        table.updateAllowances(fleet.specs, now);
+        std::uint32_t most = 0;
+        for (const auto& [collection, spec] : fleet.specs) {
+            std::uint32_t sum = 0;
+            for (const Server* server : table.of(collection))
+                sum += server->allowance;
+            most = std::max(most, sum);
+        }
+        return most;
+    };
+    BOOST_TEST(mostConnections() == 2U);
+    BOOST_TEST(!table.expireShares(now + milliseconds { 500 }));
+    table.setInstances(fleet.names, now + milliseconds { 300 });
+    now += milliseconds { 700 };
+    BOOST_TEST(table.expireShares(now));
+    BOOST_TEST(mostConnections() == 2U);
+}
+
 // Pattern: more instances than a server takes connections, in several data centres. Guards against work that crosses data
 // centres although a server of the own one is there.
 BOOST_AUTO_TEST_CASE(ServersOfTheOwnDataCentreAreConnectedFirst)
