Log a list with many new servers in one line

Change: more than 20 new servers in one list are counted in one event, servers_listed.

Test: Routers/AFirstListIsLoggedInOneLine.

--- a/routing/events.h
+++ b/routing/events.h
@@ -19,6 +19,7 @@
     inline constexpr EventDescription kServerReplaced { 8021, "server_replaced", Severity::Warning, "Another incarnation answered at a server's address; the server gets no more work." };
     inline constexpr EventDescription kServerAppeared { 8022, "server_appeared", Severity::Information, "The list names a new server." };
     inline constexpr EventDescription kServerLeaving { 8023, "server_withdrawn", Severity::Information, "The list names a server as leaving or no longer at all; it gets no new work." };
+    inline constexpr EventDescription kServersListed { 8024, "servers_listed", Severity::Information, "One list names many new servers, as the first list after a start; they are counted and not named." };
     inline constexpr EventDescription kDocumentApplied { 8030, "document_applied", Severity::Information, "A higher version of the routes is in force here." };
     inline constexpr EventDescription kInstancesChanged { 8031, "instances_changed", Severity::Information, "The number of entry instances changed, and with it this one's share of connections and repeats." };
 
@@ -35,6 +36,7 @@
     &events::kServerReplaced,
     &events::kServerAppeared,
     &events::kServerLeaving,
+    &events::kServersListed,
     &events::kDocumentApplied,
     &events::kInstancesChanged,
 };
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -38,6 +38,8 @@
     constexpr Micros kConnectLimit { 1'000'000 };
     // A given-up attempt keeps its connection this long for the reply; then the connection is closed.
     constexpr Micros kGivenUpLimit { 250'000 };
+    // With more new servers in one list they are only counted in the log: hundreds of lines would delay the first requests.
+    constexpr std::size_t kServersNamed = 20;
     // Connections opened ahead of need in one sweep, so that a start does not open all at one moment.
     constexpr std::size_t kWarmPerSweep = 16;
 } // namespace
@@ -228,8 +230,14 @@
 
 void Router::takeServers(const ServerTable::Changes& changes, Micros age)
 {
-    for (const Server* server : changes.appeared)
+    const bool many = changes.appeared.size() > kServersNamed;
+    if (many)
+        log(events::kServersListed, { { "servers", fmt::to_string(changes.appeared.size()) }, { "age_us", fmt::to_string(age.count()) } });
+    for (const Server* server : changes.appeared) {
+        if (many)
+            break;
         log(events::kServerAppeared, { { "server", server->record.instance }, { "collection", server->record.collection }, { "address", server->record.address } });
+    }
     for (Server* server : changes.leaving) {
         log(events::kServerLeaving, { { "server", server->record.instance }, { "collection", server->record.collection }, { "listed", server->gone ? "false" : "true" }, { "age_us", fmt::to_string(age.count()) } });
         failWaiting(*server);
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -1,3 +1,4 @@
+#include "routing/events.h"
 #include "tests/routing/router_harness.h"
 
 #include <boost/test/unit_test.hpp>
@@ -299,6 +300,24 @@
     BOOST_TEST(harness.take<AnswerMerged>().size() == 1u);
 }
 
+// Guards against hundreds of log lines that hold up the first requests after a start.
+BOOST_AUTO_TEST_CASE(AFirstListIsLoggedInOneLine)
+{
+    RouterHarness harness;
+    harness.serve(30);
+    const auto count = [&harness](const EventDescription& description) {
+        return std::count_if(harness.effects.begin(), harness.effects.end(), [&description](const Effect& effect) {
+            const LogEvent* event = std::get_if<LogEvent>(&effect);
+            return event && event->description == &description;
+        });
+    };
+    BOOST_TEST(count(events::kServersListed) == 1);
+    BOOST_TEST(count(events::kServerAppeared) == 0);
+    harness.addServer("new", "orders");
+    harness.publish();
+    BOOST_TEST(count(events::kServerAppeared) == 1);
+}
+
 // Guards against the split of a route drifting from its weights.
 BOOST_AUTO_TEST_CASE(ASplitHoldsItsWeights)
 {
