Notice a cut sooner and from fewer requests

On the grown sites each gateway gets about one request a second, so 2.5 failures within the memory of 0.7 s never came together and a cut-off gateway stayed ready for the whole cut.

Ruled out: reachability of control instances alone; a loss of power of the control group would look the same.

Change: a leader answers watches at least each 0.35 s and a watch ends after 0.6 s. The refusal of a request tells how many of its attempts no server answered, and six of them count as one more failure, up to four failures a request.

Test: IsolationDetectors/OneRequestToManyShardsIsEnough.

--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -10,8 +10,8 @@
 namespace curranttrail {
 
 namespace {
-    // A leader answers a watch within 0.6 s even without news.
-    constexpr Micros kWatchLimit { 950'000 };
+    // A leader answers a watch within 0.35 s even without news. Callers of an instance that is cut off wait until this has passed.
+    constexpr Micros kWatchLimit { 600'000 };
     constexpr std::chrono::milliseconds kKeepAlive { 1'000 };
     constexpr std::chrono::milliseconds kSilenceLimit { 1'500 };
     constexpr Micros kPauseAfterFailure { 100'000 };
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -23,7 +23,7 @@
 
 namespace {
     // How often the steward looks at the group, waiting watchers are checked and a missing leader is noticed.
-    constexpr Micros kTick { 200'000 };
+    constexpr Micros kTick { 100'000 };
     constexpr Micros kListInterval { 1'000'000 };
     constexpr Micros kJoinInterval { 1'000'000 };
     // Heartbeats and elections of a group that spans data centres on small shares of a processor.
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -12,7 +12,7 @@
 
 namespace {
     // Shorter than the watcher's time-out, so that a silent leader is noticed by the missing answer.
-    constexpr Micros kMostWait { 400'000 };
+    constexpr Micros kMostWait { 250'000 };
     // Without a leader a watcher waits here for one, but not so long that it is kept from the part of a group that has one.
     constexpr Micros kMostWaitWithoutLeader { 150'000 };
     // The leader fetches the list each second, so an older one is from before another instance led.
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -254,9 +254,9 @@
         answer(effect.request, reply);
     }
 
-    void noteOutcome(bool served)
+    void noteOutcome(bool served, std::size_t unanswered = 0)
     {
-        isolation.noteOutcome(served, transport::monotonicNow());
+        isolation.noteOutcome(served, transport::monotonicNow(), unanswered);
         noteReadiness();
     }
 
@@ -264,7 +264,7 @@
     {
         using routing::RefusalReason;
         if (effect.reason == RefusalReason::NoServer || effect.reason == RefusalReason::AttemptsFailed || effect.reason == RefusalReason::TimedOut)
-            noteOutcome(false);
+            noteOutcome(false, effect.unanswered);
         const Refusal refusal = refusalOf(effect);
         RawReply reply;
         reply.status = refusal.status;
--- a/policy/isolation_detector.cpp
+++ b/policy/isolation_detector.cpp
@@ -10,12 +10,19 @@
     constexpr double kMemoryMicros = 7e5;
     // Fewer failures than this may be chance.
     constexpr double kLeastFailures = 2.5;
+    // So many unanswered attempts of a failed request count as one more failure. With few requests a second and many shards a
+    // single request must be able to decide.
+    constexpr double kUnansweredPerFailure = 6;
+    constexpr double kMostPerRequest = 4;
 } // namespace
 
-void IsolationDetector::noteOutcome(bool served, TimePoint now)
+void IsolationDetector::noteOutcome(bool served, TimePoint now, std::size_t unanswered)
 {
     fade(now);
-    (served ? m_served : m_failed) += 1;
+    if (served)
+        m_served += 1;
+    else
+        m_failed += std::min(kMostPerRequest, 1 + static_cast<double>(unanswered) / kUnansweredPerFailure);
     decide();
 }
 
--- a/policy/isolation_detector.h
+++ b/policy/isolation_detector.h
@@ -2,6 +2,8 @@
 
 #include "core/units.h"
 
+#include <cstddef>
+
 namespace curranttrail::policy {
 
 // Decides whether this instance is cut off from what it needs while others may not be: it has lost its control leader, and most
@@ -9,7 +11,8 @@
 // fail for all instances fail elsewhere too.
 class IsolationDetector {
 public:
-    void noteOutcome(bool served, TimePoint now);
+    // A request that failed while servers left attempts unanswered shows more than one that failed otherwise.
+    void noteOutcome(bool served, TimePoint now, std::size_t unanswered = 0);
     void noteLeader(bool follows, TimePoint now);
     bool isIsolated() const { return m_isolated; }
 
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -192,6 +192,8 @@
     bool notRun = false;
     // When the caller may come back, for a request that was not run.
     std::optional<Micros> retryAfter;
+    // Attempts that were sent and not answered.
+    std::size_t unanswered = 0;
 };
 
 using Effect = std::variant<OpenConnection, CloseConnection, SendAttempt, AnswerReply, AnswerMerged, RefuseRequest, LogEvent>;
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -176,6 +176,10 @@
     refusal.request = key;
     refusal.reason = reason;
     refusal.notRun = verdictOf(request) == Verdict::NotRun;
+    refusal.unanswered = static_cast<std::size_t>(std::count_if(request.attempts.begin(), request.attempts.end(), [this](AttemptId id) {
+        const auto it = m_attempts.find(id);
+        return it != m_attempts.end() && !it->second.givenUp && it->second.connection;
+    }));
     if (refusal.notRun)
         refusal.retryAfter = pauseBeforeReturn();
     ++m_counters.refused[static_cast<std::size_t>(reason)];
--- a/tests/policy/isolation_detector_test.cpp
+++ b/tests/policy/isolation_detector_test.cpp
@@ -31,6 +31,21 @@
     BOOST_TEST(!detector.isIsolated());
 }
 
+// Pattern: a data centre is cut off, and each of its many instances gets about one request a second, each to many shards. Guards
+// against an instance there that fails all of them for as long as the cut lasts.
+BOOST_AUTO_TEST_CASE(OneRequestToManyShardsIsEnough)
+{
+    IsolationDetector detector;
+    detector.noteOutcome(true, at(0));
+    detector.noteLeader(false, at(600));
+    detector.noteOutcome(false, at(1'500), 22);
+    BOOST_TEST(detector.isIsolated());
+    IsolationDetector fewUnanswered;
+    fewUnanswered.noteLeader(false, at(600));
+    fewUnanswered.noteOutcome(false, at(1'500), 3);
+    BOOST_TEST(!fewUnanswered.isIsolated());
+}
+
 // Guards against all instances leaving service when the servers fail everywhere, or when only the control group is down.
 BOOST_AUTO_TEST_CASE(FailuresOrALostLeaderAloneAreNoIsolation)
 {
