--- a/main/control_program.cpp
+++ b/main/control_program.cpp
@@ -4,14 +4,12 @@
 #include "main/control_settings.h"
 #include "main/daemon_program.h"
 #include "main/events.h"
+#include "main/stop_request.h"
 #include "transport/io_threads.h"
-#include "transport/signals.h"
 
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
-#include <future>
-
 namespace curranttrail {
 
 namespace {
@@ -36,16 +34,10 @@
         transport::EventSink sink({ settings.name, settings.logThreshold });
         sink.log(events::kStarting, { { "version", CURRANTTRAIL_VERSION }, { "owner", settings.owner }, { "data_centre", settings.dataCentre } });
         transport::IoThreads threads(1);
-        std::promise<int> stop;
-        std::atomic<bool> asked { false };
-        // A second signal changes nothing; the graceful stop has its own limit.
-        transport::StopSignals signals(threads, [&](int signal) {
-            if (!asked.exchange(true))
-                stop.set_value(signal);
-        });
+        StopRequest stop(threads, sink);
         ControlDaemon daemon(settings, sink);
         daemon.start(settings.peers);
-        stop.get_future().wait();
+        stop.wait();
         sink.log(events::kDraining);
         daemon.stop(std::chrono::duration_cast<std::chrono::milliseconds>(settings.stopLimit));
         sink.log(events::kStopped);
--- a/main/coordinator_program.cpp
+++ b/main/coordinator_program.cpp
@@ -17,7 +17,7 @@
         sink.log(events::kStarting, { { "version", CURRANTTRAIL_VERSION }, { "data_centre", settings.dataCentre }, { "address", settings.group.text() }, { "bootstrap", settings.bootstrap ? "true" : "false" } });
         transport::IoThreads threads(1);
         CoordinatorDaemon daemon(settings, sink);
-        StopRequest stop(threads, [&] {
+        StopRequest stop(threads, sink, [&] {
             if (const std::optional<CoordinatorSettings> changed = reloadSettings<CoordinatorSettings>(path, &readCoordinatorSettings, sink))
                 daemon.setSeeds(changed->contact.seeds);
         });
--- a/main/entry_program.cpp
+++ b/main/entry_program.cpp
@@ -4,16 +4,14 @@
 #include "main/entry_daemon.h"
 #include "main/entry_settings.h"
 #include "main/events.h"
-#include "transport/events.h"
+#include "main/stop_request.h"
 #include "transport/io_threads.h"
-#include "transport/signals.h"
 
 #include <fmt/format.h>
 #include <tclap/CmdLine.h>
 
 #include <cstdio>
 #include <fstream>
-#include <future>
 
 namespace curranttrail {
 
@@ -50,18 +48,11 @@
         transport::EventSink sink({ settings.name, settings.logThreshold });
         sink.log(events::kStarting, { { "version", CURRANTTRAIL_VERSION }, { "owner", settings.owner }, { "data_centre", settings.dataCentre } });
         transport::IoThreads signalThread(1);
-        std::promise<void> stop;
-        std::atomic<bool> asked { false };
-        // A second signal changes nothing; the graceful stop has its own limit.
-        const transport::StopSignals signals(signalThread, [&](int signal) {
-            sink.log(transport::events::kSignalReceived, { { "signal", std::to_string(signal) } });
-            if (!asked.exchange(true))
-                stop.set_value();
-        });
+        StopRequest stop(signalThread, sink);
         EntryDaemon daemon(settings, sink);
         daemon.start();
         writePorts(portsFile, daemon);
-        stop.get_future().wait();
+        stop.wait();
         const bool complete = daemon.stop();
         sink.log(events::kStopped);
         return complete ? 0 : 1;
--- a/main/stop_request.h
+++ b/main/stop_request.h
@@ -1,22 +1,26 @@
 #pragma once
 
+#include "transport/event_sink.h"
+#include "transport/events.h"
 #include "transport/io_threads.h"
 #include "transport/signals.h"
 
 #include <atomic>
 #include <functional>
 #include <future>
+#include <string>
 
 namespace curranttrail {
 
-// Waits for the first SIGTERM or SIGINT. A second one changes nothing; a graceful stop has its own limit.
+// Logs SIGTERM and SIGINT and waits for the first one. A second one changes nothing; a graceful stop has its own limit.
 class StopRequest {
 public:
-    explicit StopRequest(transport::IoThreads& threads, std::function<void()> reload = {})
+    StopRequest(transport::IoThreads& threads, transport::EventSink& sink, std::function<void()> reload = {})
         : m_signals(
-            threads, [this](int signal) {
+            threads, [this, &sink](int signal) {
+                sink.log(transport::events::kSignalReceived, { { "signal", std::to_string(signal) } });
                 if (!m_asked.exchange(true))
-                    m_stop.set_value(signal);
+                    m_stop.set_value();
             },
             std::move(reload))
     {
@@ -25,7 +29,7 @@
     void wait() { m_stop.get_future().wait(); }
 
 private:
-    std::promise<int> m_stop;
+    std::promise<void> m_stop;
     std::atomic<bool> m_asked { false };
     transport::StopSignals m_signals;
 };
--- a/tests/query/entry_harness.h
+++ b/tests/query/entry_harness.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "query/entry_reducer.h"
+#include "tests/core/take_effects.h"
 
 #include <algorithm>
 #include <string>
@@ -47,19 +48,8 @@
         now = until;
     }
 
-    // Removes and returns the effects of one kind.
     template <typename T>
-    std::vector<T> take()
-    {
-        std::vector<T> taken;
-        std::erase_if(effects, [&](const Effect& effect) {
-            const T* value = std::get_if<T>(&effect);
-            if (value)
-                taken.push_back(*value);
-            return value != nullptr;
-        });
-        return taken;
-    }
+    std::vector<T> take() { return tests::takeEffects<T>(effects); }
 
     template <typename T>
     T takeOne()
--- a/tests/routing/router_harness.h
+++ b/tests/routing/router_harness.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "routing/router.h"
+#include "tests/core/take_effects.h"
 
 #include <fmt/format.h>
 
@@ -118,19 +119,8 @@
 
     void reply(const SendAttempt& send, ServerReply reply) { handle(AttemptReplied { send.attempt, std::move(reply) }); }
 
-    // Removes and returns the effects of one kind.
     template <typename T>
-    std::vector<T> take()
-    {
-        std::vector<T> taken;
-        std::erase_if(effects, [&](const Effect& effect) {
-            const T* value = std::get_if<T>(&effect);
-            if (value)
-                taken.push_back(*value);
-            return value != nullptr;
-        });
-        return taken;
-    }
+    std::vector<T> take() { return tests::takeEffects<T>(effects); }
 
     Router router;
     TimePoint now { Micros { 1'000'000 } };
