Do not wait for a connection that cannot come about in a test

A run of the same binary hung too; its stack shows AConnectionRequestWithoutAnAnswerIsRepeated in poll() within the library's connect, which waits for the result even on a non-blocking socket. Whether the queue of the listener is full after one or after more connections depends on timing.

Ruled out: the product; no thread of it waits.

Change: the test calls connect() itself and does not wait. What is checked and its bound are unchanged.

--- a/tests/transport/frame_link_test.cpp
+++ b/tests/transport/frame_link_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <cerrno>
 #include <condition_variable>
 #include <future>
 #include <mutex>
@@ -257,9 +258,10 @@
     for (int n = 0; n < 4; ++n) {
         boost::asio::ip::tcp::socket& socket = queue.emplace_back(context);
         socket.open(boost::asio::ip::tcp::v4());
-        socket.non_blocking(true);
-        boost::system::error_code ec;
-        socket.connect(full.local_endpoint(), ec);
+        socket.native_non_blocking(true);
+        // The library's connect waits for the result, which never comes once the queue is full.
+        const boost::asio::ip::tcp::endpoint target = full.local_endpoint();
+        BOOST_TEST((::connect(socket.native_handle(), target.data(), static_cast<socklen_t>(target.size())) == 0 || errno == EINPROGRESS));
     }
     std::promise<void> up;
     std::atomic<bool> seen { false };
