Drop late copies of earlier replies and bound what a server may send

(2) chunk headers, trailers and interim replies had no limit, and the 8 MB limit of one body held for each connection, not for the process. ruled out: another caller's answer was never returned: the id in the reply was checked before. Header lines, status lines and bodies without end were limited already; their tests were green on the old code. change: a reply that names another request is dropped and the next one awaited, at most 16 times; the connection is closed after its own reply.

--- a/main/feed_events.h
+++ b/main/feed_events.h
@@ -21,6 +21,7 @@
     inline constexpr EventDescription kFeedRegained { 1220, "feed_regained", Severity::Information, "A control leader answers; the configuration and the server list are up to date." };
     inline constexpr EventDescription kFeedLost { 1221, "feed_lost", Severity::Warning, "No control leader answers; the last configuration and server list stay in use." };
     inline constexpr EventDescription kDocumentUnreadable { 1222, "document_unreadable", Severity::Error, "A committed configuration document could not be decoded; the previous one stays active." };
+    inline constexpr EventDescription kForeignReplyDropped { 1225, "foreign_reply_dropped", Severity::Warning, "A server sent a reply to another request, such as a late second copy; it was dropped and the reply to this request is awaited." };
     inline constexpr EventDescription kSettingsReloaded { 1230, "settings_reloaded", Severity::Information, "The settings file was reloaded; its seeds are used from now on." };
     inline constexpr EventDescription kSettingsRefused { 1231, "settings_refused", Severity::Error, "The reloaded settings file has errors; the previous settings stay in use." };
 
@@ -39,6 +40,7 @@
     &events::kFeedRegained,
     &events::kFeedLost,
     &events::kDocumentUnreadable,
+    &events::kForeignReplyDropped,
     &events::kSettingsReloaded,
     &events::kSettingsRefused,
 };
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -136,6 +136,7 @@
         transport::RawHttpClient::Handlers handlers;
         handlers.opened = [this](ConnectionId connection) { dispatch(routing::ConnectionOpened { connection }); };
         handlers.disconnected = [this](ConnectionId connection, std::string reason) { dispatch(routing::ConnectionLost { connection, std::move(reason) }); };
+        handlers.belongsToRequest = [this](ConnectionId connection, const RawReply& reply) { return belongsToRequest(connection, reply); };
         handlers.replied = [this](ConnectionId connection, RawReply reply, bool connectionClosed) { replied(connection, std::move(reply), connectionClosed); };
         handlers.requestFailed = [this](ConnectionId connection, std::string reason) {
             const auto it = inFlightAttempts.find(connection);
@@ -173,6 +174,16 @@
         dispatch(event);
     }
 
+    bool belongsToRequest(ConnectionId connection, const RawReply& reply)
+    {
+        const auto it = inFlightAttempts.find(connection);
+        const std::optional<std::string_view> requestId = platform::requestIdOf(reply);
+        if (it == inFlightAttempts.end() || !requestId || *requestId == it->second.requestId)
+            return true;
+        sink.log(events::kForeignReplyDropped, { { "request", it->second.requestId }, { "reply_to", std::string { *requestId } }, { "status", fmt::to_string(reply.status) } });
+        return false;
+    }
+
     void replied(ConnectionId connection, RawReply reply, bool connectionClosed)
     {
         const auto it = inFlightAttempts.find(connection);
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -3,6 +3,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <array>
+#include <thread>
+#include <vector>
 
 using namespace curranttrail;
 using namespace curranttrail::test;
@@ -127,12 +130,24 @@
     misbehaving.wrongRequestIdPercent = 30;
     for (std::size_t server : { 4, 5 })
         system.servers.set(server, misbehaving);
+    // The requests overlap, because one whose reply names another request waits for its own until the deadline.
+    std::array<std::string, 100> statuses;
+    constexpr std::size_t kCallers = 4;
+    std::vector<std::thread> callers;
+    callers.reserve(kCallers);
+    for (std::size_t caller = 0; caller < kCallers; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (std::size_t n = caller; n < statuses.size(); n += kCallers)
+                statuses[n] = statusOf(system.ask("/book/x", fmt::format("once-{}", n), "POST", "body"));
+        });
+    }
+    for (std::thread& caller : callers)
+        caller.join();
     int served = 0;
-    for (int n = 0; n < 100; ++n) {
-        const std::string id = fmt::format("once-{}", n);
-        const std::string status = statusOf(system.ask("/book/x", id, "POST", "body"));
+    for (std::size_t n = 0; n < statuses.size(); ++n) {
+        const std::string& status = statuses[n];
         served += status == "200" ? 1 : 0;
-        const unsigned runs = system.servers.runsOf(id);
+        const unsigned runs = system.servers.runsOf(fmt::format("once-{}", n));
         BOOST_TEST(runs <= 1u);
         if (status == "503")
             BOOST_TEST(runs == 0u);
--- a/transport/raw_http_client.cpp
+++ b/transport/raw_http_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <unordered_map>
 #include <utility>
@@ -23,6 +24,13 @@
     constexpr std::size_t kReadBufferBytes = 16'384;
     constexpr std::size_t kMaximumReplyBytes = 8u << 20;
     constexpr std::uint32_t kMaximumHeaderBytes = 65'536;
+    // The parser consumes a body as it arrives. What it leaves is an incomplete header, chunk header or trailer, for which it has
+    // no limit of its own.
+    constexpr std::size_t kMaximumUnparsedBytes = 131'072;
+    // Incomplete replies of all connections together. Above it the connection that holds the most is closed.
+    constexpr std::size_t kMaximumBufferedBytes = 32u << 20;
+    // Interim replies and replies to earlier requests that are dropped before the reply to one request.
+    constexpr unsigned kMaximumDroppedReplies = 16;
     // A connection is closed if sent bytes stay unacknowledged for this time, which detects unreachable servers.
     constexpr std::chrono::milliseconds kUnacknowledgedTimeout { 3'000 };
 }
@@ -82,6 +90,7 @@
         connection->busy = true;
         connection->writing = true;
         connection->expectsBody = expectsBody;
+        connection->droppedReplies = 0;
         connection->output = std::move(text);
         prepareParser(*connection);
         // A request usually fits into the socket's send buffer. Writing it synchronously saves an iteration of the event loop.
@@ -130,6 +139,12 @@
         bool expectsBody = true;
         bool waitingForBytes = false;
         bool closed = false;
+        // Replies that were dropped since the request was sent.
+        unsigned droppedReplies = 0;
+        // True once a reply to another request arrived. Another one may follow later, so the connection is not reused.
+        bool outOfStep = false;
+        // Bytes of the incomplete reply.
+        std::size_t bufferedBytes = 0;
     };
 
     static void prepareParser(Connection& connection)
@@ -173,24 +188,55 @@
             return;
         }
         connection->unparsedBytes.append(m_readBuffer.data(), size);
-        if (parse(connection))
-            waitForBytes(connection);
+        setBufferedBytes(*connection, connection->bufferedBytes + size);
+        if (!parse(connection))
+            return;
+        waitForBytes(connection);
+        limitBufferedBytes();
+    }
+
+    // Closes the connections with the largest incomplete replies until the limit is met.
+    void limitBufferedBytes()
+    {
+        while (m_bufferedBytes > kMaximumBufferedBytes) {
+            const auto largest = std::max_element(m_connections.begin(), m_connections.end(),
+                [](const auto& a, const auto& b) { return a.second->bufferedBytes < b.second->bufferedBytes; });
+            end(std::shared_ptr<Connection>(largest->second), "incomplete replies exceed the memory limit");
+        }
+    }
+
+    void setBufferedBytes(Connection& connection, std::size_t size)
+    {
+        m_bufferedBytes += size;
+        m_bufferedBytes -= std::exchange(connection.bufferedBytes, size);
     }
 
     // Returns true if reading from the connection continues.
     bool parse(const std::shared_ptr<Connection>& connection)
     {
-        error_code ec = detail::parsePending(*connection->parser, connection->unparsedBytes);
-        // Interim (1xx) responses precede the final reply and are skipped.
-        while (!ec && connection->parser->is_done() && connection->parser->get().result_int() < 200) {
+        while (true) {
+            const error_code ec = detail::parsePending(*connection->parser, connection->unparsedBytes);
+            if (ec) {
+                end(connection, "not an HTTP response: " + ec.message());
+                return false;
+            }
+            if (!connection->parser->is_done())
+                break;
+            // Interim (1xx) responses precede the final reply and are skipped.
+            const bool isInterim = connection->parser->get().result_int() < 200;
+            if (!isInterim && complete(connection, false))
+                return !connection->closed;
+            if (++connection->droppedReplies > kMaximumDroppedReplies) {
+                end(connection, "too many replies before the one to this request");
+                return false;
+            }
             prepareParser(*connection);
-            ec = detail::parsePending(*connection->parser, connection->unparsedBytes);
+            setBufferedBytes(*connection, connection->unparsedBytes.size());
         }
-        if (ec) {
-            end(connection, "not an HTTP response: " + ec.message());
-            return false;
-        }
-        return connection->parser->is_done() ? complete(connection, false) : true;
+        if (connection->unparsedBytes.size() <= kMaximumUnparsedBytes)
+            return true;
+        end(connection, "the header of a reply or chunk is too large");
+        return false;
     }
 
     void handleEndOfStream(const std::shared_ptr<Connection>& connection)
@@ -198,14 +244,13 @@
         if (connection->busy && connection->parser->is_header_done() && connection->parser->need_eof()) {
             error_code ec;
             connection->parser->put_eof(ec);
-            if (!ec && connection->parser->is_done()) {
-                complete(connection, true);
+            if (!ec && connection->parser->is_done() && complete(connection, true))
                 return;
-            }
         }
         end(connection, "the server closed the connection");
     }
 
+    // Passes on a complete reply. Returns false if it belongs to another request and was dropped.
     bool complete(const std::shared_ptr<Connection>& connection, bool ended)
     {
         http::response<http::string_body> message = connection->parser->release();
@@ -214,14 +259,19 @@
         reply.status = message.result_int();
         reply.body = std::move(message.body());
         reply.fields = detail::fieldsOf(message);
+        if (!m_handlers.belongsToRequest(connection->id, reply)) {
+            connection->outOfStep = true;
+            return false;
+        }
         // The connection cannot be reused if surplus bytes follow the reply, or if the request is not completely written: the
         // server would read the next request as the rest of this one.
-        const bool closing = ended || !message.keep_alive() || !connection->unparsedBytes.empty() || connection->writing;
+        const bool closing = ended || !message.keep_alive() || !connection->unparsedBytes.empty() || connection->writing || connection->outOfStep;
         connection->busy = false;
+        setBufferedBytes(*connection, 0);
         if (closing)
             closeSocket(connection);
         m_handlers.replied(connection->id, std::move(reply), closing);
-        return !connection->closed;
+        return true;
     }
 
     void end(const std::shared_ptr<Connection>& connection, std::string reason)
@@ -239,6 +289,7 @@
     void closeSocket(const std::shared_ptr<Connection>& connection)
     {
         connection->closed = true;
+        setBufferedBytes(*connection, 0);
         error_code ec;
         connection->socket.close(ec);
         m_connections.erase(connection->id);
@@ -248,6 +299,8 @@
     Handlers m_handlers;
     std::vector<char> m_readBuffer;
     std::unordered_map<ConnectionId, std::shared_ptr<Connection>> m_connections;
+    // Bytes of incomplete replies over all connections.
+    std::size_t m_bufferedBytes = 0;
 };
 
 RawHttpClient::RawHttpClient(asio::io_context& context, Handlers handlers)
--- a/transport/raw_http_client.h
+++ b/transport/raw_http_client.h
@@ -21,6 +21,9 @@
         std::function<void(ConnectionId connection)> opened;
         // The connection could not be opened, or was closed while no request was in flight.
         std::function<void(ConnectionId connection, std::string reason)> disconnected;
+        // Returns whether a complete reply belongs to the request in flight. A reply that does not is dropped, and the client
+        // goes on waiting for the right one.
+        std::function<bool(ConnectionId connection, const RawReply& reply)> belongsToRequest;
         // A complete reply was received. The connection has been closed if `closing` is true.
         std::function<void(ConnectionId connection, RawReply reply, bool closing)> replied;
         // The connection ended or failed before the reply was complete.
