Send no requests to servers that were silent, and notice a cut from silent data centres

In almaty-b 57 requests were held for 1.19 s although the servers of a third of the shards could not be reached, and the instances became unready only 1.3 to 2.6 s after the cut, when requests had failed. ruled out: size: the site has nine machines. The control group: requests are served without a leader. change: a server that was silent, or to which a connection failed, gets no request until a connection opens; requests whose coverage is out of reach are refused at once as not run; an instance without a leader is isolated once all other data centres are silent; callers refused before the first document return after 0.4 to 0.6 s, when a leader can be there.

--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -224,6 +224,8 @@
                 return;
             timerSet = false;
             dispatch(routing::Tick {});
+            isolation.recordOtherDataCentres(router.servers().otherDataCentresAreSilent(transport::monotonicNow()));
+            updateReadiness();
         });
     }
 
--- a/policy/isolation_detector.cpp
+++ b/policy/isolation_detector.cpp
@@ -33,6 +33,12 @@
     updateState();
 }
 
+void IsolationDetector::recordOtherDataCentres(bool areSilent)
+{
+    m_otherDataCentresAreSilent = areSilent;
+    updateState();
+}
+
 void IsolationDetector::decay(TimePoint now)
 {
     const double factor = std::exp(-std::max(0.0, static_cast<double>((now - m_decayedAt).count())) / kDecayTimeMicros);
@@ -46,7 +52,7 @@
 {
     if (m_hasLeader)
         m_isIsolated = false;
-    else if (m_failedWeight >= kMinimumFailures && m_failedWeight > m_servedWeight)
+    else if (m_otherDataCentresAreSilent || (m_failedWeight >= kMinimumFailures && m_failedWeight > m_servedWeight))
         m_isIsolated = true;
 }
 
--- a/policy/isolation_detector.h
+++ b/policy/isolation_detector.h
@@ -7,14 +7,16 @@
 namespace curranttrail::policy {
 
 // Detects that this instance is cut off by a network partition while others may not be: it has lost contact with the control
-// leader, and most of its recent requests failed. One of the two alone is not sufficient: requests can be served without a
-// leader, and failures of the servers affect all instances alike.
+// leader, and either most of its recent requests failed or all other data centres are silent. A lost leader alone is not
+// sufficient, because requests can be served without one, and failures of the servers affect all instances alike.
 class IsolationDetector {
 public:
     // Records the outcome of a request. Unanswered attempts of a failed request increase its weight.
     void recordRequestOutcome(bool served, TimePoint now, std::size_t unanswered = 0);
     // Records whether this instance is in contact with a control leader.
     void recordLeaderContact(bool hasLeader, TimePoint now);
+    // Records whether the servers of all other data centres are silent.
+    void recordOtherDataCentres(bool areSilent);
     bool isIsolated() const { return m_isIsolated; }
 
 private:
@@ -25,6 +27,7 @@
     double m_failedWeight = 0;
     TimePoint m_decayedAt;
     bool m_hasLeader = true;
+    bool m_otherDataCentresAreSilent = false;
     bool m_isIsolated = false;
 };
 
--- a/routing/events.h
+++ b/routing/events.h
@@ -20,6 +20,8 @@
     inline constexpr EventDescription kServerAppeared { 8022, "server_appeared", Severity::Information, "A server was added to the server list." };
     inline constexpr EventDescription kServerLeaving { 8023, "server_withdrawn", Severity::Information, "A server is marked as leaving or was removed from the server list; it gets no new work." };
     inline constexpr EventDescription kServersListed { 8024, "servers_listed", Severity::Information, "A server list, such as the first one after a start, adds many servers; they are counted instead of named." };
+    inline constexpr EventDescription kServerUnverified { 8025, "server_unverified", Severity::Warning, "A server was silent or a connection to it failed; without an open connection it gets no requests until one opens." };
+    inline constexpr EventDescription kServerVerified { 8026, "server_verified", Severity::Information, "A server that was silent or refused a connection can be reached again." };
     inline constexpr EventDescription kDocumentApplied { 8030, "document_applied", Severity::Information, "This instance applied a newer version of the route document." };
     inline constexpr EventDescription kInstancesChanged { 8031, "instances_changed", Severity::Information, "The number of entry instances changed; this instance's share of connections and additional attempts is updated." };
 
@@ -37,6 +39,8 @@
     &events::kServerAppeared,
     &events::kServerLeaving,
     &events::kServersListed,
+    &events::kServerUnverified,
+    &events::kServerVerified,
     &events::kDocumentApplied,
     &events::kInstancesChanged,
 };
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -26,8 +26,10 @@
     constexpr Micros kMaximumLag { 25'000 };
     // Bounds the memory of requests in flight; more of them could not meet their latency objectives.
     constexpr std::size_t kMaximumRequests = 800;
-    // Retry-After of requests that arrive before the first route document.
-    constexpr Micros kRetryAfterWhenNotReady { 200'000 };
+    // Range of the Retry-After of requests that arrive before the first route document. After a restart of all instances the control
+    // group needs about this long to elect a leader, and most callers return only once.
+    constexpr Micros kMinimumRetryAfterWhenNotReady { 400'000 };
+    constexpr Micros kMaximumRetryAfterWhenNotReady { 600'000 };
     constexpr Micros kSweepInterval { 100'000 };
     // Delay before a failed connection is opened again.
     constexpr Micros kReconnectDelay { 200'000 };
@@ -67,6 +69,12 @@
     return wakeup;
 }
 
+Micros Router::randomDelay(Micros minimum, Micros maximum)
+{
+    boost::random::uniform_int_distribution<Micros::rep> delay(minimum.count(), maximum.count());
+    return Micros { delay(m_random) };
+}
+
 void Router::log(const EventDescription& description, std::vector<EventField> fields)
 {
     m_effects.emplace_back(LogEvent { &description, std::move(fields) });
@@ -76,7 +84,7 @@
 {
     ++m_counters.arrived;
     if (!m_table) {
-        refuseUnrouted(event, RefusalReason::NotReady, kRetryAfterWhenNotReady);
+        refuseUnrouted(event, RefusalReason::NotReady, randomDelay(kMinimumRetryAfterWhenNotReady, kMaximumRetryAfterWhenNotReady));
         return;
     }
     const Route* route = m_table->find(event.host, event.path);
@@ -174,6 +182,8 @@
     it->second.isOpen = true;
     it->second.stateChangedAt = m_now;
     --server.opening;
+    server.openingSince = server.opening > 0 ? server.openingSince : kNever;
+    setUnverified(server, false, "a connection opened");
     server.idle.push_back(event.connection);
     dispatchWaiting(server);
 }
@@ -193,19 +203,24 @@
     const bool rejected = !opening && !it->second.wasUsed && m_now - it->second.stateChangedAt < kRejectionWindow;
     dropConnection(event.connection);
     if (rejected) {
-        boost::random::uniform_int_distribution<Micros::rep> delay(kMinimumRejectionBackoff.count(), kMaximumRejectionBackoff.count());
-        server.earliestConnectAt = m_now + Micros { delay(m_random) };
+        server.earliestConnectAt = m_now + randomDelay(kMinimumRejectionBackoff, kMaximumRejectionBackoff);
         if (server.connections == 0)
             failWaiting(server);
     }
     if (!opening)
         return;
     server.earliestConnectAt = m_now + kReconnectDelay;
-    recordServerFailure(server, event.reason);
+    setUnverified(server, true, event.reason);
     if (server.connections == 0)
         failWaiting(server);
 }
 
+void Router::setUnverified(Server& server, bool isUnverified, std::string_view reason)
+{
+    if (std::exchange(server.isUnverified, isUnverified) != isUnverified)
+        log(isUnverified ? events::kServerUnverified : events::kServerVerified, { { "server", server.record.instance }, { "collection", server.record.collection }, { "open", fmt::to_string(server.connections - server.opening) }, { "reason", std::string { reason } } });
+}
+
 void Router::on(const RouteDocumentUpdated& event)
 {
     if (m_table && event.document->version <= m_table->document().version)
@@ -289,7 +304,8 @@
 void Router::sweep()
 {
     // While there are no requests, only the sweep shows that the lag has decreased.
-    recordLag(m_nextSweep == TimePoint {} ? Micros { 0 } : std::chrono::duration_cast<Micros>(m_now - m_nextSweep));
+    const Micros sweepDelay = m_nextSweep == TimePoint {} ? Micros { 0 } : std::chrono::duration_cast<Micros>(m_now - m_nextSweep);
+    recordLag(sweepDelay);
     m_nextSweep = m_now + kSweepInterval;
     std::vector<ConnectionId> late;
     for (const auto& [id, connection] : m_connections) {
@@ -300,15 +316,13 @@
         m_effects.emplace_back(CloseConnection { id });
         on(ConnectionLost { id, "connection attempt timed out" });
     }
-    while (!m_abandonedAttempts.empty() && m_now - m_abandonedAttempts.front().at >= kAbandonedReplyTimeout) {
+    // After a stall of this process the replies of the stalled time are still to be read.
+    const bool wasStalled = sweepDelay >= kAbandonedReplyTimeout;
+    while (!wasStalled && !m_abandonedAttempts.empty() && m_now - m_abandonedAttempts.front().at >= kAbandonedReplyTimeout) {
         const auto it = m_attempts.find(m_abandonedAttempts.front().attempt);
         m_abandonedAttempts.pop_front();
-        if (it == m_attempts.end())
-            continue;
-        recordServerFailure(*it->second.server, "no reply to an abandoned attempt");
-        recordAbandonedAttempt(it->second);
-        const ConnectionId connection = *it->second.connection;
-        closeConnection(connection);
+        if (it != m_attempts.end())
+            closeSilentConnection(it->second);
     }
     const ServerTable::Changes changes = m_servers.evictRetired(m_now);
     logNewServers(changes, Micros { 0 });
@@ -317,14 +331,34 @@
     warmConnections();
 }
 
-// Keeps one connection open to each eligible server, so that requests do not wait for a connection.
+// Closes the connection of an abandoned attempt that got no reply. If the server has not replied to anything since the attempt was
+// sent, its other connections are likely to be silent too.
+void Router::closeSilentConnection(const Attempt& attempt)
+{
+    Server& server = *attempt.server;
+    const bool isSilent = server.lastReply < attempt.sentAt;
+    recordServerFailure(server, "no reply to an abandoned attempt");
+    recordAbandonedAttempt(attempt);
+    const ConnectionId connection = *attempt.connection;
+    closeConnection(connection);
+    if (!isSilent)
+        return;
+    for (const ConnectionId idle : std::vector<ConnectionId>(server.idle))
+        closeConnection(idle);
+    setUnverified(server, true, "no reply to an abandoned attempt");
+}
+
+// Keeps one connection open to each eligible server, so that requests do not wait for a connection. A server that was silent is
+// tried by a connection, not by a request.
 void Router::warmConnections()
 {
     if (!m_table)
         return;
     std::size_t opened = 0;
     for (const auto& [instance, server] : m_servers.all()) {
-        if (!server->keepsWarmConnection || server->connections > 0 || !server->canOpenConnection(m_now) || server->health.isSuspended(m_now))
+        if (server->connections > 0 || !server->canOpenConnection(m_now))
+            continue;
+        if (!server->isUnverified && (!server->keepsWarmConnection || server->health.isSuspended(m_now)))
             continue;
         openConnection(*server);
         if (++opened == kMaximumOpenedPerSweep)
--- a/routing/router.h
+++ b/routing/router.h
@@ -163,6 +163,8 @@
     void on(const Tick&) { }
     void runTimers();
     void sweep();
+    void closeSilentConnection(const Attempt& attempt);
+    void setUnverified(Server& server, bool isUnverified, std::string_view reason);
     void warmConnections();
     void updateQuotasAndBudgets();
     void log(const EventDescription& description, std::vector<EventField> fields);
@@ -206,6 +208,7 @@
     void end(RequestKey key, bool closeAtOnce);
     Verdict verdictOf(const Request& request) const;
     Micros randomRetryAfter();
+    Micros randomDelay(Micros minimum, Micros maximum);
     void recordLag(Micros lag);
 
     const RouterOptions m_options;
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -93,7 +93,8 @@
     const ConnectionId id { ++m_lastConnection };
     m_connections[id] = { &server, false, std::nullopt, m_now, false };
     ++server.connections;
-    ++server.opening;
+    if (++server.opening == 1)
+        server.openingSince = m_now;
     ++m_counters.connectionsOpened;
     m_effects.emplace_back(OpenConnection { id, server.record.address });
 }
@@ -106,8 +107,8 @@
         return;
     Server& server = *it->second.server;
     std::erase(server.idle, id);
-    if (!it->second.isOpen)
-        --server.opening;
+    if (!it->second.isOpen && --server.opening == 0)
+        server.openingSince = kNever;
     --server.connections;
     if (it->second.attempt) {
         server.unanswered.erase(*it->second.attempt);
@@ -204,6 +205,7 @@
     else
         server.idle.push_back(connection);
     server.lastReply = m_now;
+    setUnverified(server, false, "a reply arrived");
     if (event.reply.load) {
         server.load = *event.reply.load;
         server.loadReportedAt = m_now;
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -2,7 +2,6 @@
 
 #include "routing/events.h"
 
-#include <boost/random/uniform_int_distribution.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -168,8 +167,7 @@
 
 Micros Router::randomRetryAfter()
 {
-    boost::random::uniform_int_distribution<Micros::rep> delay(kMinimumRetryAfter.count(), kMaximumRetryAfter.count());
-    return Micros { delay(m_random) };
+    return randomDelay(kMinimumRetryAfter, kMaximumRetryAfter);
 }
 
 // Lists the servers of the live attempts with the time since each was sent.
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -28,6 +28,11 @@
     constexpr double kColdStartSlowdown = 1.6;
     // Time until a retired server that is still listed is used again. It exceeds the delay of the server list.
     constexpr Micros kReinstatementDelay { 3'000'000 };
+    // Servers answer within this time unless they pause or are far slower than usual.
+    constexpr Micros kSilenceThreshold { 180'000 };
+    constexpr Micros kRecentReplyAge { 300'000 };
+    // Fewer silent servers may pause or fail by coincidence.
+    constexpr std::size_t kMinimumSilentServers = 3;
     // Random cost that spreads instances with the same view over servers of similar cost.
     constexpr double kMaximumCostJitterMicros = 800;
 } // namespace
@@ -51,6 +56,11 @@
     return acceptsWork() && connections < connectionQuota && now >= earliestConnectAt;
 }
 
+bool Server::isSilent(TimePoint now) const
+{
+    return std::any_of(unanswered.begin(), unanswered.end(), [&](const auto& attempt) { return now - attempt.second >= kSilenceThreshold && lastReply < attempt.second; });
+}
+
 ServerTable::ServerTable(DataCentreName dataCentre, InstanceName self)
     : m_dataCentre(std::move(dataCentre))
     , m_self(std::move(self))
@@ -207,6 +217,9 @@
     double micros = typical * factor * (1 + std::max(0.0, attemptsAhead + 1 - slots) / slots + 0.1 * attemptsAhead);
     if (!server.hasIdleConnection())
         micros += server.canOpenConnection(now) || server.opening > server.waiting.size() ? kConnectCostMicros : typical * 2;
+    // A connection that has been opening for long is likely to need as long again.
+    if (server.opening > 0 && server.opening == server.connections)
+        micros += std::max(0.0, static_cast<double>((now - server.openingSince).count()));
     if (!server.unanswered.empty()) {
         const TimePoint oldest = std::min_element(server.unanswered.begin(), server.unanswered.end(), [](const auto& a, const auto& b) { return a.second < b.second; })->second;
         if (now - oldest > estimate.pauseThreshold && server.lastReply < oldest + estimate.pauseThreshold)
@@ -226,7 +239,7 @@
     double lowestCost = 0;
     boost::random::uniform_real_distribution<double> jitter(0, kMaximumCostJitterMicros);
     for (Server* server : serversOf(collection)) {
-        if (!server->acceptsWork() || server->connectionQuota == 0 || std::find(avoided.begin(), avoided.end(), server) != avoided.end())
+        if (!server->acceptsWork() || !server->isReachable() || server->connectionQuota == 0 || std::find(avoided.begin(), avoided.end(), server) != avoided.end())
             continue;
         if (server->connections == 0 && !server->canOpenConnection(now))
             continue;
@@ -242,7 +255,20 @@
 bool ServerTable::hasUsable(const CollectionName& collection) const
 {
     const std::vector<Server*>& servers = serversOf(collection);
-    return std::any_of(servers.begin(), servers.end(), [](const Server* server) { return server->acceptsWork(); });
+    return std::any_of(servers.begin(), servers.end(), [](const Server* server) { return server->acceptsWork() && server->isReachable(); });
+}
+
+bool ServerTable::otherDataCentresAreSilent(TimePoint now) const
+{
+    std::size_t silent = 0;
+    for (const auto& [instance, server] : m_servers) {
+        if (server->record.dataCentre == m_dataCentre || !server->acceptsWork())
+            continue;
+        if (server->lastReply != TimePoint::min() && now - server->lastReply < kRecentReplyAge)
+            return false;
+        silent += server->isSilent(now) || !server->isReachable() ? 1 : 0;
+    }
+    return silent >= kMinimumSilentServers;
 }
 
 ServerTable::Changes ServerTable::evictRetired(TimePoint now)
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -47,6 +47,11 @@
     // Number of this instance's attempts that the reported load included.
     std::uint32_t ownAttemptsInLoad = 0;
     TimePoint lastReply = TimePoint::min();
+    // True after the server was silent or a connection to it failed, until a connection opens or a reply arrives. Without an open
+    // connection such a server gets no requests.
+    bool isUnverified = false;
+    // Time since which the oldest connection that is still opening has been requested.
+    TimePoint openingSince = kNever;
     // Time before which no connection is opened, set after a failed or rejected one.
     TimePoint earliestConnectAt = TimePoint::min();
     // Maximum number of connections that this instance may hold to the server.
@@ -56,6 +61,9 @@
 
     void retire(TimePoint now);
     bool acceptsWork() const { return !isRetired && !record.leaving; }
+    // Returns whether the server has sent nothing since an attempt that was sent some time ago.
+    bool isSilent(TimePoint now) const;
+    bool isReachable() const { return !isUnverified || connections > opening; }
     bool hasIdleConnection() const { return !idle.empty(); }
     bool canOpenConnection(TimePoint now) const;
     std::uint32_t outstandingAttempts() const { return static_cast<std::uint32_t>(unanswered.size() + waiting.size()); }
@@ -98,8 +106,10 @@
     const std::vector<Server*>& serversOf(const CollectionName& collection) const;
     // Returns the usable server with the lowest expected cost, excluding the avoided ones, or null if there is none.
     Server* choose(const CollectionName& collection, const std::vector<const Server*>& avoided, const WorkEstimate& estimate, Random& random, TimePoint now) const;
-    // Returns whether any server of the collection accepts work.
+    // Returns whether any server of the collection accepts work and can be reached.
     bool hasUsable(const CollectionName& collection) const;
+    // Returns whether several servers of other data centres leave attempts unanswered and none of them replied recently.
+    bool otherDataCentresAreSilent(TimePoint now) const;
     // Evicts retired servers without connections. Those that are still listed are added again after a delay.
     Changes evictRetired(TimePoint now);
 
--- a/tests/policy/isolation_detector_test.cpp
+++ b/tests/policy/isolation_detector_test.cpp
@@ -46,6 +46,23 @@
     BOOST_TEST(!fewUnanswered.isIsolated());
 }
 
+// A data centre is partitioned from the others. Guards against an instance that waits for its requests to fail, which takes as
+// long as their callers wait, before callers are sent elsewhere.
+BOOST_AUTO_TEST_CASE(SilentDataCentresIsolateAnInstanceWithoutALeader)
+{
+    IsolationDetector detector;
+    detector.recordOtherDataCentres(true);
+    BOOST_TEST(!detector.isIsolated());
+    detector.recordLeaderContact(false, at(400));
+    BOOST_TEST(detector.isIsolated());
+    detector.recordOtherDataCentres(false);
+    BOOST_TEST(detector.isIsolated());
+    detector.recordLeaderContact(true, at(5'000));
+    BOOST_TEST(!detector.isIsolated());
+    detector.recordLeaderContact(false, at(6'000));
+    BOOST_TEST(!detector.isIsolated());
+}
+
 // Guards against all instances becoming unready if the servers fail everywhere, or if only the control group is down.
 BOOST_AUTO_TEST_CASE(FailuresOrALostLeaderAloneDoNotIsolate)
 {
--- a/tests/routing/load_patterns_test.cpp
+++ b/tests/routing/load_patterns_test.cpp
@@ -1,3 +1,4 @@
+#include "routing/events.h"
 #include "tests/routing/router_harness.h"
 
 #include <boost/test/unit_test.hpp>
@@ -224,4 +225,145 @@
     }
 }
 
+// All instances restart at the same moment. Guards against callers that are told to return before a leader can be there, since most
+// return only once, and against all of them returning at the same moment.
+BOOST_AUTO_TEST_CASE(CallersRefusedDuringAStartReturnAfterIt)
+{
+    constexpr Micros kLeaderElected { 400'000 };
+    Router router({ "gateway-1", "dc-a", 7, {} });
+    std::set<Micros> delays;
+    for (std::uint64_t n = 1; n <= 50; ++n) {
+        for (const Effect& effect : router.handle(RequestArrived { { n }, "id", "site", "/search/x" }, TimePoint { Micros { 1'000'000 } })) {
+            if (const RefuseRequest* refusal = std::get_if<RefuseRequest>(&effect))
+                delays.insert(refusal->retryAfter.value_or(Micros { 0 }));
+        }
+    }
+    BOOST_TEST(delays.size() > 40u);
+    BOOST_TEST((*delays.begin() >= kLeaderElected));
+    BOOST_TEST((*delays.rbegin() - *delays.begin() >= milliseconds { 150 }));
+}
+
+// A data centre is cut off and takes one server of each shard with it: connections stay silent, new ones do not open. The other
+// servers are busy. Guards against requests that wait for the lost servers again and again, and against leaving them unused after
+// the partition.
+BOOST_AUTO_TEST_CASE(ServersThatAreCutOffDelayNoRequests)
+{
+    constexpr Micros kServiceTime { 25'000 };
+    RouterHarness harness;
+    harness.setUpCollections(4, 1.0);
+    const std::vector<std::string> cutOff { "s0a", "s1a", "s2a", "s3a" };
+    std::vector<std::pair<TimePoint, SendAttempt>> running;
+    std::map<std::string, int> attempts;
+    // Sends a query each 10 ms. The servers that can be reached reply after the service time.
+    const auto query = [&](int queries) {
+        for (int n = 0; n < queries; ++n) {
+            harness.sendRequest("/search/x");
+            harness.advance(milliseconds { 10 });
+            for (const SendAttempt& send : harness.takeSent()) {
+                ++attempts[send.instance];
+                if (!harness.unreachableAddresses.contains(harness.addressOf(send.instance)))
+                    running.emplace_back(harness.now + kServiceTime, send);
+            }
+            while (!running.empty() && running.front().first <= harness.now) {
+                harness.reply(running.front().second, RouterHarness::success(running.front().second.instance));
+                running.erase(running.begin());
+            }
+        }
+    };
+    query(200);
+    for (const std::string& instance : cutOff)
+        harness.unreachableAddresses.insert(harness.addressOf(instance));
+    query(150);
+    attempts.clear();
+    harness.effects.clear();
+    query(500);
+    for (const std::string& instance : cutOff)
+        BOOST_TEST(!attempts.contains(instance));
+    // A part waits for a connection only if it was given to a server that is cut off.
+    const auto waited = std::count_if(harness.effects.begin(), harness.effects.end(), [](const Effect& effect) {
+        const LogEvent* event = std::get_if<LogEvent>(&effect);
+        return event && event->description == &events::kAttemptRepeated;
+    });
+    BOOST_TEST(waited == 0);
+    harness.unreachableAddresses.clear();
+    query(200);
+    attempts.clear();
+    query(100);
+    for (const std::string& instance : cutOff)
+        BOOST_TEST(attempts[instance] > 10);
+}
+
+// All servers of a shard are gone while the server list still names them. Guards against requests that wait until their deadline
+// although the required coverage is out of reach.
+BOOST_AUTO_TEST_CASE(RequestsThatNoReachableServerCanAnswerAreRefusedAtOnce)
+{
+    RouterHarness harness;
+    harness.setUpCollections(4, 1.0);
+    for (const char* instance : { "s0a", "s0b" })
+        harness.unreachableAddresses.insert(harness.addressOf(instance));
+    // The requests of the first moments find out.
+    for (int n = 0; n < 20; ++n) {
+        harness.sendRequest("/search/x");
+        for (const SendAttempt& send : harness.takeSent()) {
+            if (!send.instance.starts_with("s0"))
+                harness.reply(send, RouterHarness::success(send.instance));
+        }
+        harness.advance(milliseconds { 100 });
+    }
+    harness.takeEffects<RefuseRequest>();
+    harness.takeSent();
+    harness.sendRequest("/search/x");
+    const std::vector<RefuseRequest> refusals = harness.takeEffects<RefuseRequest>();
+    BOOST_TEST_REQUIRE(refusals.size() == 1u);
+    BOOST_TEST((refusals.front().reason == RefusalReason::NoServer));
+    BOOST_TEST(refusals.front().notRun);
+    BOOST_TEST(refusals.front().retryAfter.has_value());
+    BOOST_TEST(harness.takeSent().empty());
+    // The shard is used again soon after its servers are back.
+    harness.unreachableAddresses.clear();
+    harness.advance(milliseconds { 1'500 });
+    harness.sendRequest("/search/x");
+    BOOST_TEST(harness.takeSent().size() == 4u);
+}
+
+// The servers of all other data centres fall silent at the same moment. Guards against taking slow servers for a partition, and
+// against waiting for the requests to fail.
+BOOST_AUTO_TEST_CASE(APartitionFromOtherDataCentresIsNoticed)
+{
+    RouterHarness harness;
+    harness.setUpCollections(6, 1.0);
+    for (ServerRecord& record : harness.serverList)
+        record.dataCentre = record.instance < "s3" ? "dc-b" : "dc-a";
+    for (ServerRecord& record : harness.serverList)
+        record.instance += "'";
+    harness.publish();
+    harness.advance(milliseconds { 4'000 });
+    const auto isElsewhere = [&](const SendAttempt& send) {
+        return std::any_of(harness.serverList.begin(), harness.serverList.end(), [&](const ServerRecord& record) { return record.instance == send.instance && record.dataCentre == "dc-b"; });
+    };
+    // Sends queries for a second. Every n-th reply from the other data centre is lost.
+    const auto queries = [&](int lostOfTen) {
+        int turn = 0;
+        for (int n = 0; n < 20; ++n) {
+            harness.sendRequest("/search/x");
+            for (int step = 0; step < 5; ++step) {
+                for (const SendAttempt& send : harness.takeSent()) {
+                    if (!isElsewhere(send) || turn++ % 10 >= lostOfTen)
+                        harness.reply(send, RouterHarness::success(send.instance));
+                }
+                harness.advance(milliseconds { 10 });
+            }
+        }
+    };
+    queries(0);
+    queries(5);
+    BOOST_TEST(!harness.router.servers().otherDataCentresAreSilent(harness.now));
+    for (const ServerRecord& record : harness.serverList) {
+        if (record.dataCentre == "dc-b")
+            harness.unreachableAddresses.insert(record.address);
+    }
+    queries(10);
+    BOOST_TEST(harness.router.servers().otherDataCentresAreSilent(harness.now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
