--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -85,17 +85,24 @@
     m_scheduledEvaluations.push({ next, key });
 }
 
+// Sends the parts that are late to another server. A part that had to wait for a connection gets the hedge delay from the time at
+// which it was sent.
 void Router::hedge(RequestKey key, Request& request)
 {
+    const Micros delay = hedgeDelay(*request.route, request.profile->hedgeDelay);
     request.hedgeAt = kNever;
-    for (std::size_t n = 0; n < request.parts.size(); ++n) {
-        const Part& part = request.parts[n];
+    for (const AttemptId id : liveAttempts(request)) {
+        const Attempt& attempt = m_attempts.at(id);
+        const std::size_t index = attempt.part;
+        const Part& part = request.parts[index];
         if (part.state != PartState::Open || part.inFlight != 1 || part.tried.size() != 1)
             continue;
-        if (part.sent == 0)
-            reassignWaiting(key, request, n);
+        if (attempt.connection && m_now < attempt.sentAt + delay)
+            request.hedgeAt = std::min(request.hedgeAt, attempt.sentAt + delay);
+        else if (part.sent == 0)
+            reassignWaiting(key, request, index);
         else
-            sendAdditionalAttempt(key, request, n, "late");
+            sendAdditionalAttempt(key, request, index, "late");
     }
 }
 
