--- a/tests/routing/load_patterns_test.cpp
+++ b/tests/routing/load_patterns_test.cpp
@@ -123,8 +123,7 @@
 
 // More instances than a server accepts connections, each with its router, and shards of three servers spread over data centres.
 // Each instance sends a query a second; the servers reply after 10 to 20 ms. Virtual time, one step each 5 ms.
-class OversubscribedFleet {
-public:
+struct OversubscribedFleet {
     explicit OversubscribedFleet(std::size_t dataCentres, std::size_t shards = 20, std::size_t instances = 74)
     {
         document->version = 1;
@@ -138,14 +137,14 @@
             document->collections[scatter.shards.back()] = { scatter.shards.back(), kConnectionLimit };
             for (int replica = 0; replica < 3; ++replica) {
                 const std::string name = fmt::format("i-{}-{}", shard, replica);
-                placeOf[name] = fmt::format("dc-{}", serverList.size() % dataCentres);
-                serverList.push_back({ name, scatter.shards.back(), name, placeOf[name], 2, false, Micros { 0 } });
+                dataCentreOf[name] = fmt::format("dc-{}", serverList.size() % dataCentres);
+                serverList.push_back({ name, scatter.shards.back(), name, dataCentreOf[name], 2, false, Micros { 0 } });
             }
         }
         document->routes.push_back({ "search", "site", "/search/", true, milliseconds { 600 }, milliseconds { 100 }, 1, 2, scatter });
         for (std::size_t n = 0; n < instances; ++n) {
-            places.push_back(fmt::format("dc-{}", n % dataCentres));
-            routers.push_back(std::make_unique<Router>(RouterOptions { names[n], places.back(), n, { 0.2, 400, Micros { 10'000'000 } } }));
+            ownDataCentre.push_back(fmt::format("dc-{}", n % dataCentres));
+            routers.push_back(std::make_unique<Router>(RouterOptions { names[n], ownDataCentre.back(), n, { 0.2, 400, Micros { 10'000'000 } } }));
             handle(n, EntryInstancesChanged { names });
             handle(n, RouteDocumentUpdated { document });
             handle(n, ServerListReceived { serverList, Micros { 0 } });
@@ -175,9 +174,8 @@
     std::map<std::string, std::uint32_t> mostOpen;
     std::size_t attempts = 0;
     std::size_t localAttempts = 0;
-    std::size_t openedForAttempts = 0;
+    std::size_t opened = 0;
 
-private:
     static constexpr milliseconds kStep { 5 };
     // With 74 instances, one step of every 200 of an instance starts a query.
     static constexpr std::size_t kStepsPerQuery = 201;
@@ -196,7 +194,7 @@
     {
         servers[{ instance, effect.connection }] = effect.address;
         mostOpen[effect.address] = std::max(mostOpen[effect.address], ++open[effect.address]);
-        ++openedForAttempts;
+        ++opened;
         pending.emplace(now + kConnectTime, std::make_pair(instance, Event { ConnectionOpened { effect.connection } }));
     }
 
@@ -205,15 +203,15 @@
     void run(std::size_t instance, const SendAttempt& effect)
     {
         ++attempts;
-        localAttempts += placeOf.at(effect.instance) == places[instance] ? 1 : 0;
+        localAttempts += dataCentreOf.at(effect.instance) == ownDataCentre[instance] ? 1 : 0;
         const milliseconds serviceTime { boost::random::uniform_int_distribution<int>(10, 20)(random) };
         pending.emplace(now + serviceTime, std::make_pair(instance, Event { AttemptReplied { effect.attempt, RouterHarness::success("stamp") } }));
     }
 
     std::shared_ptr<RouteDocument> document = std::make_shared<RouteDocument>();
     std::vector<std::unique_ptr<Router>> routers;
-    std::vector<DataCentreName> places;
-    std::map<std::string, DataCentreName> placeOf;
+    std::vector<DataCentreName> ownDataCentre;
+    std::map<std::string, DataCentreName> dataCentreOf;
     std::map<std::pair<std::size_t, ConnectionId>, std::string> servers;
     std::multimap<TimePoint, std::pair<std::size_t, Event>> pending;
     TimePoint now { Micros { 1'000'000 } };
@@ -233,7 +231,7 @@
         for (const auto& [server, count] : fleet.mostOpen)
             BOOST_TEST(count <= OversubscribedFleet::kConnectionLimit, dataCentres << " data centres, " << server << ": " << count);
         // Most requests find a connection that an earlier one left open.
-        BOOST_TEST(fleet.openedForAttempts * 2 < fleet.attempts);
+        BOOST_TEST(fleet.opened * 2 < fleet.attempts);
     }
 }
 
