Keep a subset of servers connected where it leaves a second choice

ConnectionsStayWithinTheServersLimits with 150 instances then found 69 connections to a server that accepts 59: each kept one idle connection a shard, the whole limit.

--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -224,7 +224,8 @@
                 return;
             timerSet = false;
             dispatch(routing::Tick {});
-            isolation.recordOtherDataCentres(router.servers().otherDataCentresAreSilent(transport::monotonicNow()));
+            const TimePoint now = transport::monotonicNow();
+            isolation.recordOtherDataCentres(router.servers().otherDataCentresAreSilent(now), now);
             updateReadiness();
         });
     }
@@ -281,8 +282,10 @@
         RawReply reply;
         reply.status = refusal.status;
         reply.fields = { { "Content-Type", "application/json" } };
-        if (effect.retryAfter)
-            reply.fields.emplace_back("Retry-After", fmt::format("{:.3f}", static_cast<double>(effect.retryAfter->count()) / 1e6));
+        if (effect.retryAfter) {
+            const Micros delay = *effect.retryAfter + isolation.timeUntilRemoved(kBalancerRemovalDelay, transport::monotonicNow());
+            reply.fields.emplace_back("Retry-After", fmt::format("{:.3f}", static_cast<double>(delay.count()) / 1e6));
+        }
         reply.body = transport::refusalBody(refusal.error, effect.notRun ? "not_run" : "may_have_run", nameOf(routing::kRefusalReasonNames, effect.reason));
         answer(effect.request, reply);
     }
--- a/policy/isolation_detector.cpp
+++ b/policy/isolation_detector.cpp
@@ -23,20 +23,20 @@
         m_servedWeight += 1;
     else
         m_failedWeight += std::min(kMaximumFailuresPerRequest, 1 + static_cast<double>(unanswered) / kUnansweredPerFailure);
-    updateState();
+    updateState(now);
 }
 
 void IsolationDetector::recordLeaderContact(bool hasLeader, TimePoint now)
 {
     decay(now);
     m_hasLeader = hasLeader;
-    updateState();
+    updateState(now);
 }
 
-void IsolationDetector::recordOtherDataCentres(bool areSilent)
+void IsolationDetector::recordOtherDataCentres(bool areSilent, TimePoint now)
 {
     m_otherDataCentresAreSilent = areSilent;
-    updateState();
+    updateState(now);
 }
 
 void IsolationDetector::decay(TimePoint now)
@@ -48,12 +48,20 @@
 }
 
 // An isolated instance gets no requests that could succeed, so only contact with a leader ends the state.
-void IsolationDetector::updateState()
+void IsolationDetector::updateState(TimePoint now)
 {
+    const bool requestsFail = m_failedWeight >= kMinimumFailures && m_failedWeight > m_servedWeight;
     if (m_hasLeader)
-        m_isIsolated = false;
-    else if (m_otherDataCentresAreSilent || (m_failedWeight >= kMinimumFailures && m_failedWeight > m_servedWeight))
-        m_isIsolated = true;
+        m_isolatedSince = kNever;
+    else if (!isIsolated() && (m_otherDataCentresAreSilent || requestsFail))
+        m_isolatedSince = now;
+}
+
+Micros IsolationDetector::timeUntilRemoved(Micros removalDelay, TimePoint now) const
+{
+    if (!isIsolated())
+        return Micros { 0 };
+    return std::max(Micros { 0 }, std::chrono::duration_cast<Micros>(m_isolatedSince + removalDelay - now));
 }
 
 } // namespace curranttrail::policy
--- a/policy/isolation_detector.h
+++ b/policy/isolation_detector.h
@@ -16,19 +16,22 @@
     // Records whether this instance is in contact with a control leader.
     void recordLeaderContact(bool hasLeader, TimePoint now);
     // Records whether the servers of all other data centres are silent.
-    void recordOtherDataCentres(bool areSilent);
-    bool isIsolated() const { return m_isIsolated; }
+    void recordOtherDataCentres(bool areSilent, TimePoint now);
+    bool isIsolated() const { return m_isolatedSince != kNever; }
+    // Returns the time after which callers that are refused now reach another instance: what is left of the delay with which the
+    // load balancer removes an instance. Zero if this instance is not isolated.
+    Micros timeUntilRemoved(Micros removalDelay, TimePoint now) const;
 
 private:
     void decay(TimePoint now);
-    void updateState();
+    void updateState(TimePoint now);
 
     double m_servedWeight = 0;
     double m_failedWeight = 0;
     TimePoint m_decayedAt;
     bool m_hasLeader = true;
     bool m_otherDataCentresAreSilent = false;
-    bool m_isIsolated = false;
+    TimePoint m_isolatedSince = kNever;
 };
 
 } // namespace curranttrail::policy
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -12,6 +13,12 @@
 namespace {
     // With more connections, requests would only queue at the server instead of here.
     constexpr std::uint32_t kMaximumConnectionsPerServer = 6;
+    // A smaller subset of connected servers leaves no second choice while one of them is slow.
+    constexpr std::size_t kMinimumKeptServers = 2;
+    // Idle connections that are kept anyway may take this part of the usable limit. Instances choose their servers independently, so
+    // some servers get more than the mean, and requests need connections as well.
+    constexpr double kIdleShareOfLimit = 0.7;
+    constexpr std::size_t kRoundingSteps = 1'000;
     // Connections of one instance to a server whose limit all instances share. Overlapping requests need a second one.
     constexpr std::uint32_t kMaximumSharedConnections = 2;
     // The rest of a server's connection limit is left for instances that are not known yet and for its other clients.
@@ -149,27 +156,49 @@
     }
 }
 
-// If each instance may hold at least one connection to every server, connections are kept open. Otherwise an instance sends so few
-// requests that the servers would close its idle connections, and keeping a subset of the servers connected would leave no second
-// choice for a shard: connections to all servers are opened when needed and closed soon after.
+// If each instance may hold at least one connection to every server, connections are kept open. Otherwise an instance keeps them to a
+// subset of the servers, of its own data centre first, if that leaves a second choice, and opens others when needed. With still more
+// instances each sends so few requests that the servers would close its idle connections: all are opened when needed.
 void ServerTable::updateConnectionQuota(const CollectionSpec& spec, const std::vector<Server*>& servers, TimePoint now)
 {
     const double limit = spec.connectionLimit * kUsableLimitShare;
     const double instances = m_shares.maximumInstanceCount(now);
-    const bool shares = limit < instances;
-    const double usable = static_cast<double>(std::count_if(servers.begin(), servers.end(), [](const Server* server) { return server->acceptsWork(); }));
+    std::vector<Server*> usable;
     for (Server* server : servers) {
-        const bool acceptsWork = server->acceptsWork();
-        server->connectionQuota = acceptsWork ? kMaximumSharedConnections : 0;
-        server->keepsWarmConnection = acceptsWork && !shares;
+        server->connectionQuota = 0;
+        server->keepsWarmConnection = false;
         server->idleConnectionLimit.reset();
-        if (shares)
-            server->idleConnectionLimit = std::max(1U, static_cast<std::uint32_t>(limit * usable / instances));
-        else if (acceptsWork)
+        if (server->acceptsWork())
+            usable.push_back(server);
+    }
+    if (limit >= instances) {
+        for (Server* server : usable) {
             server->connectionQuota = std::min(static_cast<std::uint32_t>(limit / instances), kMaximumConnectionsPerServer);
+            server->keepsWarmConnection = true;
+        }
+        return;
+    }
+    const std::size_t share = std::min(static_cast<std::size_t>(limit * static_cast<double>(usable.size()) / instances), usable.size());
+    const std::size_t kept = share >= kMinimumKeptServers ? share : 0;
+    // The fraction of the idle share is rounded up by as many of the instances.
+    const double exactIdleShare = limit * kIdleShareOfLimit * static_cast<double>(usable.size()) / instances;
+    const double rounding = static_cast<double>(std::hash<std::string> {}(m_self + '/' + spec.name) % kRoundingSteps) / kRoundingSteps;
+    const std::size_t idleShare = static_cast<std::size_t>(exactIdleShare + rounding);
+    std::partial_sort(usable.begin(), usable.begin() + static_cast<std::ptrdiff_t>(kept), usable.end(),
+        [this](const Server* a, const Server* b) { return preferenceRank(*a) < preferenceRank(*b); });
+    for (std::size_t n = 0; n < usable.size(); ++n) {
+        usable[n]->connectionQuota = kept > 0 ? 1 : kMaximumSharedConnections;
+        usable[n]->keepsWarmConnection = n == 0 && kept > 0;
+        if (n >= kept)
+            usable[n]->idleConnectionLimit = kept > 0 ? 0 : idleShare;
     }
 }
 
+std::pair<bool, std::size_t> ServerTable::preferenceRank(const Server& server) const
+{
+    return { server.record.dataCentre != m_dataCentre, std::hash<std::string> {}(m_self + '/' + server.record.instance) };
+}
+
 Server* ServerTable::find(const std::string& instance)
 {
     const auto it = m_servers.find(instance);
@@ -244,15 +273,19 @@
 
 bool ServerTable::otherDataCentresAreSilent(TimePoint now) const
 {
-    std::size_t silent = 0;
+    std::map<DataCentreName, std::size_t> silent;
+    std::size_t total = 0;
     for (const auto& [instance, server] : m_servers) {
         if (server->record.dataCentre == m_dataCentre || !server->acceptsWork())
             continue;
         if (server->lastReply != TimePoint::min() && now - server->lastReply < kRecentReplyAge)
             return false;
-        silent += server->isSilent(now) || !server->isReachable() ? 1 : 0;
+        const std::size_t count = server->isSilent(now) || !server->isReachable() ? 1 : 0;
+        silent[server->record.dataCentre] += count;
+        total += count;
     }
-    return silent >= kMinimumSilentServers;
+    // A data centre without a silent server may just have got no request lately.
+    return total >= kMinimumSilentServers && std::all_of(silent.begin(), silent.end(), [](const auto& entry) { return entry.second > 0; });
 }
 
 ServerTable::Changes ServerTable::evictRetired(TimePoint now)
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -59,10 +59,10 @@
     std::uint32_t connectionQuota = 1;
     // True if one connection is kept open ahead of need.
     bool keepsWarmConnection = false;
-    // Set if not every instance may keep a connection to each server of the collection. Connections are then opened for a request
-    // and closed after a short idle time, so that few are open at the same moment. The value is the number of idle connections that
-    // this instance may keep to all servers of the collection together.
-    std::optional<std::uint32_t> idleConnectionLimit;
+    // Set if this instance may not keep a connection to the server because all instances share its limit. Connections are then opened
+    // for a request and closed after a short idle time, so that few are open at the same moment. The value is the number of idle
+    // connections that may stay longer, over all servers of the collection for which it is set.
+    std::optional<std::size_t> idleConnectionLimit;
 
     void retire(TimePoint now);
     bool acceptsWork() const { return !isRetired && !record.leaving; }
@@ -113,7 +113,8 @@
     Server* choose(const CollectionName& collection, const std::vector<const Server*>& avoided, const WorkEstimate& estimate, Random& random, TimePoint now) const;
     // Returns whether any server of the collection accepts work and can be reached.
     bool hasUsable(const CollectionName& collection) const;
-    // Returns whether several servers of other data centres leave attempts unanswered and none of them replied recently.
+    // Returns whether several servers leave attempts unanswered, at least one in each other data centre, and no server of another
+    // data centre replied recently.
     bool otherDataCentresAreSilent(TimePoint now) const;
     // Evicts retired servers without connections. Those that are still listed are added again after a delay.
     Changes evictRetired(TimePoint now);
@@ -123,6 +124,8 @@
 private:
     void upsert(const ServerRecord& record, Micros age, TimePoint now, Changes& changes);
     static void remove(Server& server, Changes& changes);
+    // Returns the sort key for choosing a subset of the servers. The order may differ between instances.
+    std::pair<bool, std::size_t> preferenceRank(const Server& server) const;
     double cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const;
     void updateConnectionQuota(const CollectionSpec& spec, const std::vector<Server*>& servers, TimePoint now);
 
