--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -46,6 +46,12 @@
     // instance holds more than its share.
     constexpr Micros kSharedIdleTime { 3'000'000 };
     constexpr Micros kExcessIdleTime { 250'000 };
+    // For this time after a server has reset a new connection, others to it are used only once they have lasted for the probation,
+    // which exceeds the round trip between data centres. A request on a connection that is reset may have run.
+    constexpr Micros kRejectionMemory { 5'000'000 };
+    constexpr Micros kConnectionProbation { 4'000 };
+    // A new connection that is reset so soon after its first request was rejected.
+    constexpr Micros kRejectionDelay { 10'000 };
     // Connections opened ahead of need per sweep, so that they are not all opened at once after a start.
     constexpr std::size_t kMaximumOpenedPerSweep = 16;
 } // namespace
@@ -68,6 +74,8 @@
 TimePoint Router::nextWakeup() const
 {
     TimePoint wakeup = m_nextSweep;
+    if (!m_connectionsOnProbation.empty())
+        wakeup = std::min(wakeup, m_connectionsOnProbation.front().until);
     if (!m_scheduledEvaluations.empty())
         wakeup = std::min(wakeup, m_scheduledEvaluations.top().at);
     return wakeup;
@@ -188,10 +196,30 @@
     --server.opening;
     server.openingSince = server.opening > 0 ? server.openingSince : kNever;
     setUnverified(server, false, "a connection opened");
-    server.idle.push_back(event.connection);
+    if (server.lastRejectionAt != TimePoint::min() && m_now - server.lastRejectionAt < kRejectionMemory)
+        m_connectionsOnProbation.push_back({ m_now + kConnectionProbation, event.connection });
+    else
+        addIdleConnection(event.connection);
+}
+
+void Router::addIdleConnection(ConnectionId id)
+{
+    const auto it = m_connections.find(id);
+    if (it == m_connections.end())
+        return;
+    Server& server = *it->second.server;
+    server.idle.push_back(id);
     dispatchWaiting(server);
 }
 
+// Recognises a server at its connection limit by an attempt whose new connection was reset at once.
+void Router::noteRejection(const Attempt& attempt)
+{
+    const TimePoint openedAt = m_connections.at(*attempt.connection).stateChangedAt;
+    if (attempt.sentAt - openedAt < kRejectionDelay && m_now - attempt.sentAt < kRejectionDelay)
+        attempt.server->lastRejectionAt = m_now;
+}
+
 void Router::on(const ConnectionLost& event)
 {
     const auto it = m_connections.find(event.connection);
@@ -207,6 +235,7 @@
     const bool rejected = !opening && !it->second.wasUsed && m_now - it->second.stateChangedAt < kRejectionWindow;
     dropConnection(event.connection);
     if (rejected) {
+        server.lastRejectionAt = m_now;
         server.earliestConnectAt = m_now + randomDelay(kMinimumRejectionBackoff, kMaximumRejectionBackoff);
         if (server.connections == 0)
             failWaiting(server);
@@ -295,6 +324,11 @@
         m_scheduledEvaluations.pop();
         evaluate(key);
     }
+    while (!m_connectionsOnProbation.empty() && m_connectionsOnProbation.front().until <= m_now) {
+        const ConnectionId connection = m_connectionsOnProbation.front().connection;
+        m_connectionsOnProbation.pop_front();
+        addIdleConnection(connection);
+    }
     if (m_now >= m_nextSweep)
         sweep();
 }
--- a/routing/router.h
+++ b/routing/router.h
@@ -142,6 +142,12 @@
         bool operator>(const ScheduledEvaluation& other) const { return at > other.at; }
     };
 
+    // A new connection that is not used yet because the server may be about to reset it.
+    struct ConnectionOnProbation {
+        TimePoint until;
+        ConnectionId connection;
+    };
+
     struct AbandonedAttempt {
         TimePoint at;
         AttemptId attempt;
@@ -163,6 +169,8 @@
     void on(const Tick&) { }
     void runTimers();
     void sweep();
+    void addIdleConnection(ConnectionId id);
+    void noteRejection(const Attempt& attempt);
     void closeSharedIdleConnections();
     void closeSilentConnection(const Attempt& attempt);
     void setUnverified(Server& server, bool isUnverified, std::string_view reason);
@@ -227,6 +235,7 @@
     std::map<std::string, std::vector<double>> m_splitCredit;
     std::priority_queue<ScheduledEvaluation, std::vector<ScheduledEvaluation>, std::greater<>> m_scheduledEvaluations;
     std::deque<AbandonedAttempt> m_abandonedAttempts;
+    std::deque<ConnectionOnProbation> m_connectionsOnProbation;
     TimePoint m_nextSweep;
     // Recent delay of this process's timers; follows increases quickly and decreases slowly.
     Micros m_lag { 0 };
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -254,6 +254,7 @@
         return;
     const Attempt attempt = it->second;
     Server& server = *attempt.server;
+    noteRejection(attempt);
     dropConnection(*attempt.connection);
     recordServerFailure(server, event.reason);
     server.quality.onOutcome(false, m_now);
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -53,6 +53,8 @@
     bool isUnverified = false;
     // Time since which the oldest connection that is still opening has been requested.
     TimePoint openingSince = kNever;
+    // Time at which the server last reset a new connection.
+    TimePoint lastRejectionAt = TimePoint::min();
     // Time before which no connection is opened, set after a failed or rejected one.
     TimePoint earliestConnectAt = TimePoint::min();
     // Maximum number of connections that this instance may hold to the server.
--- a/tests/routing/load_patterns_test.cpp
+++ b/tests/routing/load_patterns_test.cpp
@@ -269,6 +269,50 @@
     BOOST_TEST(fleet.localAttempts * 10 >= fleet.attempts * 9, fleet.localAttempts << " of " << fleet.attempts);
 }
 
+// After a loss of all instances, servers at their limit still count the old connections and reset new ones. Guards against requests
+// that are sent on such connections: each would use up an attempt, and one that may run only once would be lost.
+BOOST_AUTO_TEST_CASE(NewConnectionsAreProvedWhileServersResetThem)
+{
+    RouterHarness harness;
+    harness.setUpCollections(1, 1.0);
+    const auto loseIdleConnections = [&] {
+        const std::uint64_t opened = harness.openedConnections;
+        for (std::uint64_t id = 1; id <= opened; ++id)
+            harness.handle(ConnectionLost { { id }, "closed" });
+    };
+    loseIdleConnections();
+    harness.sendRequest("/search/x");
+    const std::vector<SendAttempt> first = harness.takeSent();
+    BOOST_TEST_REQUIRE(first.size() == 1u);
+    harness.handle(AttemptConnectionLost { first.front().attempt, "reset" });
+    harness.advance(milliseconds { 10 });
+    const std::vector<SendAttempt> second = harness.takeSent();
+    BOOST_TEST_REQUIRE(second.size() == 1u);
+    harness.reply(second.front(), RouterHarness::success("stamp"));
+    // Only the server that reset a connection remains.
+    std::erase_if(harness.serverList, [&](const ServerRecord& record) { return record.instance == second.front().instance; });
+    harness.publish();
+    // Its idle connection has lasted for so long that its loss is no rejection.
+    harness.advance(milliseconds { 1'000 });
+    loseIdleConnections();
+    harness.sendRequest("/search/x");
+    BOOST_TEST(harness.takeSent().empty());
+    harness.advance(milliseconds { 10 });
+    const std::vector<SendAttempt> proved = harness.takeSent();
+    BOOST_TEST_REQUIRE(proved.size() == 1u);
+    harness.reply(proved.front(), RouterHarness::success("stamp"));
+    loseIdleConnections();
+    harness.effects.clear();
+    // The next new connection is reset before it is used, so that the request surely has not run.
+    harness.sendRequest("/search/x");
+    harness.advance(milliseconds { 1 });
+    loseIdleConnections();
+    BOOST_TEST(harness.takeSent().empty());
+    const std::vector<RefuseRequest> refusals = harness.takeEffects<RefuseRequest>();
+    BOOST_TEST_REQUIRE(refusals.size() == 1u);
+    BOOST_TEST(refusals.front().notRun);
+}
+
 // All instances restart at the same moment. Guards against callers that are told to return before a leader can be there, since most
 // return only once, and against all of them returning at the same moment.
 BOOST_AUTO_TEST_CASE(CallersRefusedDuringAStartReturnAfterIt)
