--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -208,6 +208,10 @@
     if (it == m_connections.end())
         return;
     Server& server = *it->second.server;
+    if (!server.acceptsWork()) {
+        closeConnection(id);
+        return;
+    }
     server.idle.push_back(id);
     dispatchWaiting(server);
 }
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -217,7 +217,7 @@
         server.retire(m_now);
         log(events::kServerReplaced, { { "server", server.record.instance }, { "address", server.record.address } });
         failWaiting(server);
-        if (!event.reply.connectionClosed)
+        if (m_connections.contains(connection))
             closeConnection(connection);
     } else if (kind == ReplyKind::Success) {
         server.health.onReply(m_now);
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -279,6 +279,60 @@
     BOOST_TEST((closed.front().connection == silent.connection));
 }
 
+// Guards against closing a connection twice: its number may then belong to another one in the driver.
+BOOST_AUTO_TEST_CASE(AConnectionIsClosedOnce)
+{
+    RouterHarness harness;
+    harness.setUpCollections(1, 1.0);
+    harness.sendRequest("/search/x");
+    const SendAttempt send = harness.takeSent().front();
+    for (ServerRecord& record : harness.serverList)
+        record.leaving = record.instance == send.instance;
+    harness.publish();
+    harness.takeEffects<CloseConnection>();
+    harness.reply(send, RouterHarness::failure(ReplyKind::WrongInstance, 421));
+    const std::vector<CloseConnection> closed = harness.takeEffects<CloseConnection>();
+    BOOST_TEST(std::count_if(closed.begin(), closed.end(), [&](const CloseConnection& effect) { return effect.connection == send.connection; }) == 1);
+}
+
+// Guards against a connection that stays open because its server began to leave while it was opening.
+BOOST_AUTO_TEST_CASE(AConnectionThatOpensToALeavingServerIsClosed)
+{
+    RouterHarness harness;
+    harness.openConnections = false;
+    harness.setUpCollections(1, 1.0);
+    // The first connections failed; their replacements are still opening.
+    harness.advance(milliseconds { 400 });
+    for (ServerRecord& record : harness.serverList)
+        record.leaving = true;
+    harness.publish();
+    harness.takeEffects<CloseConnection>();
+    for (std::uint64_t id = 1; id <= harness.openedConnections; ++id)
+        harness.handle(ConnectionOpened { { id } });
+    BOOST_TEST(!harness.takeEffects<CloseConnection>().empty());
+    for (const auto& [instance, server] : harness.router.servers().all())
+        BOOST_TEST(server->connections == server->opening);
+}
+
+// Guards against taking a server for silent because this process was stalled and has not read its reply yet.
+BOOST_AUTO_TEST_CASE(AProcessStallIsNotTheServersSilence)
+{
+    RouterHarness harness;
+    harness.setUpCollections(1, 1.0);
+    harness.sendRequest("/search/x");
+    const SendAttempt first = harness.takeSent().front();
+    harness.advance(milliseconds { 45 });
+    harness.reply(harness.takeSent().front(), RouterHarness::success("b"));
+    harness.effects.clear();
+    // No timer runs for a second, and timers run before the bytes of that time are read.
+    harness.now += milliseconds { 1'000 };
+    harness.handle(Tick {});
+    BOOST_TEST(harness.takeEffects<CloseConnection>().empty());
+    harness.reply(first, RouterHarness::success("a"));
+    harness.advance(milliseconds { 500 });
+    BOOST_TEST(harness.takeEffects<CloseConnection>().empty());
+}
+
 // Guards against refusing requests after the process was stalled, because it takes the stall for its usual lag.
 BOOST_AUTO_TEST_CASE(AProcessStallDoesNotShortenLaterRequests)
 {
