--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -307,13 +307,14 @@
         if (reply.document)
             applyDocument(*reply.document);
         isolation.recordLeaderContact(true, transport::monotonicNow());
+        dispatch(routing::ControlContacted {});
         if (reply.entryInstances)
             dispatch(routing::EntryInstancesChanged { std::move(*reply.entryInstances) });
         if (reply.serverChanges)
-            dispatch(routing::ServerListDeltaReceived { std::move(*reply.serverChanges), reply.serverListAge });
+            dispatch(routing::ServerListDeltaReceived { std::move(*reply.serverChanges), reply.serverListAge, reply.serverListVersion.revision });
         if (reply.servers) {
             hasServerList = true;
-            dispatch(routing::ServerListReceived { std::move(*reply.servers), reply.serverListAge });
+            dispatch(routing::ServerListReceived { std::move(*reply.servers), reply.serverListAge, reply.serverListVersion.revision });
         }
         updateReadiness();
     }
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -113,14 +113,20 @@
     ServerList servers;
     // Age of the list on arrival.
     Micros age { 0 };
+    // Revision of the list, as its publisher counts.
+    std::uint64_t revision = 0;
 };
 
 struct ServerListDeltaReceived {
     ServerListDelta changes;
     // Age of the newer list on arrival of the changes.
     Micros age { 0 };
+    std::uint64_t revision = 0;
 };
 
+// A control leader with a valid lease replied: the route document and the server list that this instance holds are in force.
+struct ControlContacted { };
+
 // The entry instances that share the servers, including this one.
 struct EntryInstancesChanged {
     std::vector<InstanceName> instances;
@@ -129,7 +135,7 @@
 struct Tick { };
 
 using Event = std::variant<RequestArrived, CallerDisconnected, ConnectionOpened, ConnectionLost, AttemptReplied, AttemptConnectionLost, RouteDocumentUpdated,
-    ServerListReceived, ServerListDeltaReceived, EntryInstancesChanged, Tick>;
+    ServerListReceived, ServerListDeltaReceived, ControlContacted, EntryInstancesChanged, Tick>;
 
 // ---- Effects ----
 
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -73,6 +73,17 @@
     m_effects.emplace_back(LogEvent { &description, std::move(fields) });
 }
 
+// Appends which document and server list are held, and in microseconds the time since the document was applied and since control
+// last replied.
+void Router::appendControlState(std::vector<EventField>& fields) const
+{
+    const auto since = [this](const std::optional<TimePoint>& time) { return time ? fmt::to_string((m_now - *time).count()) : std::string { "never" }; };
+    fields.push_back({ "held", fmt::to_string(documentVersion()) });
+    fields.push_back({ "held_for_us", since(m_documentAppliedAt) });
+    fields.push_back({ "control_age_us", since(m_controlContactAt) });
+    fields.push_back({ "list", fmt::to_string(m_serverListRevision) });
+}
+
 void Router::on(const RequestArrived& event)
 {
     ++m_counters.arrived;
@@ -171,6 +182,7 @@
     if (m_table && event.document->version <= m_table->document().version)
         return;
     m_table = std::make_shared<const RouteTable>(event.document);
+    m_documentAppliedAt = m_now;
     m_splitCredit.clear();
     log(events::kDocumentApplied, { { "version", fmt::to_string(event.document->version) }, { "routes", fmt::to_string(event.document->routes.size()) } });
     updateQuotasAndBudgets();
@@ -179,11 +191,13 @@
 
 void Router::on(const ServerListReceived& event)
 {
+    m_serverListRevision = event.revision;
     applyServerChanges(m_servers.apply(event.servers, event.age, m_now), event.age);
 }
 
 void Router::on(const ServerListDeltaReceived& event)
 {
+    m_serverListRevision = event.revision;
     applyServerChanges(m_servers.apply(event.changes, event.age, m_now), event.age);
 }
 
@@ -191,7 +205,7 @@
 {
     logNewServers(changes, age);
     for (Server* server : changes.leaving) {
-        log(events::kServerLeaving, { { "server", server->record.instance }, { "collection", server->record.collection }, { "listed", server->isRetired ? "false" : "true" }, { "age_us", fmt::to_string(age.count()) } });
+        log(events::kServerLeaving, { { "server", server->record.instance }, { "collection", server->record.collection }, { "listed", server->isRetired ? "false" : "true" }, { "age_us", fmt::to_string(age.count()) }, { "list", fmt::to_string(m_serverListRevision) } });
         failWaiting(*server);
         for (const ConnectionId connection : std::vector<ConnectionId>(server->idle))
             closeConnection(connection);
--- a/routing/router.h
+++ b/routing/router.h
@@ -161,6 +161,7 @@
     void on(const RouteDocumentUpdated& event);
     void on(const ServerListReceived& event);
     void on(const ServerListDeltaReceived& event);
+    void on(const ControlContacted&) { m_controlContactAt = m_now; }
     void applyServerChanges(const ServerTable::Changes& changes, Micros age);
     void logNewServers(const ServerTable::Changes& changes, Micros age);
     void on(const EntryInstancesChanged& event);
@@ -169,6 +170,7 @@
     void sweep();
     void updateQuotasAndBudgets();
     void log(const EventDescription& description, std::vector<EventField> fields);
+    void appendControlState(std::vector<EventField>& fields) const;
     LatencyProfile& latencyProfileOf(const Route& route);
     std::vector<CollectionName> collectionsOf(const Route& route);
     const CollectionName& chooseSplitCollection(const Route& route, const SplitTarget& split);
@@ -229,7 +231,11 @@
     TimePoint m_now;
     std::vector<Effect> m_effects;
     std::shared_ptr<const RouteTable> m_table;
+    std::optional<TimePoint> m_documentAppliedAt;
+    // Time of the latest reply of a control leader.
+    std::optional<TimePoint> m_controlContactAt;
     ServerTable m_servers;
+    std::uint64_t m_serverListRevision = 0;
     std::unordered_map<RequestKey, Request> m_requests;
     std::unordered_map<AttemptId, Attempt> m_attempts;
     std::unordered_map<ConnectionId, Connection> m_connections;
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -251,7 +251,7 @@
         --part.mayHaveRun;
     request.progress.push_back(progress);
     ++m_counters.attemptsFailed;
-    log(events::kAttemptFailed, { { "request", request.id }, { "server", server->record.instance }, { "collection", part.collection }, { "progress", std::string { nameOf(kAttemptProgressNames, progress) } }, { "reason", std::string { reason } }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
+    log(events::kAttemptFailed, { { "request", request.id }, { "server", server->record.instance }, { "collection", part.collection }, { "progress", std::string { nameOf(kAttemptProgressNames, progress) } }, { "reason", std::string { reason } }, { "list", fmt::to_string(m_serverListRevision) }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
     if (part.state != PartState::Open || part.inFlight > 0)
         return;
     if (sendAdditionalAttempt(key, request, index, reason))
@@ -275,7 +275,7 @@
         return;
     --part.inFlight;
     abandonAttempt(first, false);
-    log(events::kAttemptRepeated, { { "request", request.id }, { "server", part.tried.back()->record.instance }, { "collection", part.collection }, { "reason", "no connection before the hedge delay" }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
+    log(events::kAttemptRepeated, { { "request", request.id }, { "server", part.tried.back()->record.instance }, { "collection", part.collection }, { "reason", "no connection before the hedge delay" }, { "list", fmt::to_string(m_serverListRevision) }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
 }
 
 // Sends a part to another server, as a hedge or a retry, if the route, the deadline and the shared budget allow it.
@@ -301,7 +301,7 @@
         budget.tryAcquire(m_now);
     ++request.additionalAttempts;
     ++m_counters.additionalAttempts;
-    log(events::kAttemptRepeated, { { "request", request.id }, { "server", part.tried.back()->record.instance }, { "collection", part.collection }, { "reason", std::string { reason } }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
+    log(events::kAttemptRepeated, { { "request", request.id }, { "server", part.tried.back()->record.instance }, { "collection", part.collection }, { "reason", std::string { reason } }, { "list", fmt::to_string(m_serverListRevision) }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } });
     return true;
 }
 
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -3,7 +3,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
 #include <set>
+#include <string>
+#include <string_view>
 
 using namespace curranttrail;
 using namespace curranttrail::routing;
@@ -64,6 +67,28 @@
     BOOST_TEST(harness.takeSent().empty());
 }
 
+// Guards against a refusal whose log line does not tell whether the instance held an old document or had lost control.
+BOOST_AUTO_TEST_CASE(ARefusalNamesTheDocumentHeldAndTheAgeOfControl)
+{
+    RouterHarness harness;
+    harness.setUpCollections(1, 1.0, 7);
+    harness.handle(ControlContacted {});
+    harness.handle(ServerListReceived { harness.serverList, Micros { 0 }, 42 });
+    harness.advance(milliseconds { 250 });
+    harness.takeEffects<LogEvent>();
+    harness.sendRequest("/unknown/x");
+    std::map<std::string_view, std::string> fields;
+    for (const LogEvent& line : harness.takeEffects<LogEvent>()) {
+        if (line.description != &events::kRequestRefused)
+            continue;
+        for (const EventField& field : line.fields)
+            fields[field.name] = field.value;
+    }
+    BOOST_TEST(fields["held"] == "7");
+    BOOST_TEST(fields["control_age_us"] == "250000");
+    BOOST_TEST(fields["list"] == "42");
+}
+
 // Guards against a merge that loses records, orders them wrongly or miscounts the shard replies.
 BOOST_AUTO_TEST_CASE(AScatterMergesTheGreatestRecords)
 {
