Refuse an unknown route as not run while control has not confirmed the document

What callers saw: a 404 for a route that an operator's acknowledged change had added, from an instance that had been paused or had lost control. A 404 ends the caller's attempts; a 503 sends it to another instance.

--- a/routing/messages.h
+++ b/routing/messages.h
@@ -176,15 +176,18 @@
 enum class RefusalReason {
     NotReady,
     NoRoute,
+    // The document has no route, but control has not confirmed lately that it is the newest.
+    DocumentUnconfirmed,
     NoServer,
     Overloaded,
     AttemptsFailed,
     TimedOut,
 };
 
-inline constexpr std::array<EnumName<RefusalReason>, 6> kRefusalReasonNames { {
+inline constexpr std::array<EnumName<RefusalReason>, 7> kRefusalReasonNames { {
     { RefusalReason::NotReady, "not_ready" },
     { RefusalReason::NoRoute, "no_route" },
+    { RefusalReason::DocumentUnconfirmed, "document_unconfirmed" },
     { RefusalReason::NoServer, "no_server" },
     { RefusalReason::Overloaded, "overloaded" },
     { RefusalReason::AttemptsFailed, "attempts_failed" },
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -30,6 +30,8 @@
     // group needs about this long to elect a leader, and most callers return only once.
     constexpr Micros kMinimumRetryAfterWhenNotReady { 400'000 };
     constexpr Micros kMaximumRetryAfterWhenNotReady { 600'000 };
+    // A control leader replies several times within this time. Without a reply, a route may have been added meanwhile.
+    constexpr Micros kDocumentConfirmationLifetime { 1'000'000 };
     constexpr Micros kSweepInterval { 100'000 };
     // Time that an abandoned attempt may hold its connection for the reply before the connection is closed.
     constexpr Micros kAbandonedReplyTimeout { 250'000 };
@@ -93,7 +95,10 @@
     }
     const Route* route = m_table->find(event.host, event.path);
     if (!route) {
-        refuseUnrouted(event, RefusalReason::NoRoute, std::nullopt);
+        if (isDocumentConfirmed())
+            refuseUnrouted(event, RefusalReason::NoRoute, std::nullopt);
+        else
+            refuseUnrouted(event, RefusalReason::DocumentUnconfirmed, randomDelay(kMinimumRetryAfterWhenNotReady, kMaximumRetryAfterWhenNotReady));
         return;
     }
     if (m_requests.size() >= kMaximumRequests) {
@@ -138,6 +143,11 @@
     evaluate(event.key);
 }
 
+bool Router::isDocumentConfirmed() const
+{
+    return m_controlContactAt && m_now - *m_controlContactAt < kDocumentConfirmationLifetime;
+}
+
 void Router::on(const CallerDisconnected& event)
 {
     const auto it = m_requests.find(event.key);
--- a/routing/router.h
+++ b/routing/router.h
@@ -170,6 +170,8 @@
     void sweep();
     void updateQuotasAndBudgets();
     void log(const EventDescription& description, std::vector<EventField> fields);
+    // Returns whether control has confirmed lately that no newer document is in force.
+    bool isDocumentConfirmed() const;
     void appendControlState(std::vector<EventField>& fields) const;
     LatencyProfile& latencyProfileOf(const Route& route);
     std::vector<CollectionName> collectionsOf(const Route& route);
--- a/tests/routing/router_harness.h
+++ b/tests/routing/router_harness.h
@@ -52,6 +52,7 @@
         publish();
         for (int n = 0; n < 10; ++n)
             advance(milliseconds { 100 });
+        handle(ControlContacted {});
     }
 
     void addServer(const std::string& instance, const CollectionName& collection)
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -67,6 +67,34 @@
     BOOST_TEST(harness.takeSent().empty());
 }
 
+// Guards against a 404 for a route that was added while this instance was paused or had lost control: the caller would not try
+// another instance.
+BOOST_AUTO_TEST_CASE(AnUnknownRouteIsDeniedOnlyOnADocumentThatControlConfirms)
+{
+    RouterHarness harness;
+    harness.setUpCollections(1);
+    harness.sendRequest("/unknown/x");
+    std::vector<RefuseRequest> refused = harness.takeEffects<RefuseRequest>();
+    BOOST_REQUIRE(refused.size() == 1u);
+    BOOST_TEST((refused.front().reason == RefusalReason::NoRoute));
+
+    // The process was paused: the request is read before the next reply of control.
+    harness.now += milliseconds { 3'000 };
+    harness.sendRequest("/unknown/x");
+    refused = harness.takeEffects<RefuseRequest>();
+    BOOST_REQUIRE(refused.size() == 1u);
+    BOOST_TEST((refused.front().reason == RefusalReason::DocumentUnconfirmed && refused.front().notRun && refused.front().retryAfter));
+    // Routes that the document has are served meanwhile.
+    harness.sendRequest("/order/x");
+    BOOST_TEST(harness.takeSent().size() == 1u);
+
+    harness.handle(ControlContacted {});
+    harness.sendRequest("/unknown/x");
+    refused = harness.takeEffects<RefuseRequest>();
+    BOOST_REQUIRE(refused.size() == 1u);
+    BOOST_TEST((refused.front().reason == RefusalReason::NoRoute));
+}
+
 // Guards against a refusal whose log line does not tell whether the instance held an old document or had lost control.
 BOOST_AUTO_TEST_CASE(ARefusalNamesTheDocumentHeldAndTheAgeOfControl)
 {
