Publish only server lists that were fetched in the leader's own term

What callers saw or could see: requests sent to servers that had left. An instance that led again within 2 s of its last list published that list, although the leader in between may have published a newer one; and a fetch that began before a pause counted as new when it ended, so its age was stated too low.

--- a/control/control_reducer.cpp
+++ b/control/control_reducer.cpp
@@ -210,7 +210,7 @@
         return;
     m_reportedLeader = m_leader;
     m_reportedLease = m_leaseHeld;
-    m_effects.emplace_back(LeaderChanged { m_leaseHeld });
+    m_effects.emplace_back(LeaderChanged { m_leaseHeld, m_term });
 }
 
 void ControlReducer::compactIfDue()
--- a/control/messages.h
+++ b/control/messages.h
@@ -308,6 +308,7 @@
 // The known leader changed, or this replica gained or lost its lease.
 struct LeaderChanged {
     bool leads = false;
+    std::uint64_t term = 0;
 };
 
 enum class Role {
--- a/control/server_list_history.cpp
+++ b/control/server_list_history.cpp
@@ -43,6 +43,15 @@
 {
 }
 
+void ServerListHistory::beginTerm(std::uint64_t term, std::uint64_t epoch, TimePoint now)
+{
+    if (term == m_term)
+        return;
+    *this = ServerListHistory(epoch);
+    m_term = term;
+    m_termStartedAt = now;
+}
+
 bool ServerListHistory::set(routing::ServerList servers)
 {
     std::set<std::string> changed = changedInstances(m_servers, servers);
--- a/control/server_list_history.h
+++ b/control/server_list_history.h
@@ -16,6 +16,11 @@
 public:
     explicit ServerListHistory(std::uint64_t epoch);
 
+    // Starts the lists of a leader's term. The previous ones are forgotten unless they are of the same term, because another leader
+    // may have published newer lists since.
+    void beginTerm(std::uint64_t term, std::uint64_t epoch, TimePoint now);
+    // Returns whether a list may be published. One whose fetch began before the term may be older than those of the last leader.
+    bool accepts(TimePoint fetchStartedAt) const { return fetchStartedAt >= m_termStartedAt; }
     // Replaces the list. Returns true if it differs from the previous one.
     bool set(routing::ServerList servers);
     // True once a list was set.
@@ -28,6 +33,8 @@
 private:
     routing::ServerList m_servers;
     ListVersion m_version;
+    std::uint64_t m_term = 0;
+    TimePoint m_termStartedAt = TimePoint::min();
     // Servers that each of the last revisions changed, newest revision last.
     std::deque<std::set<std::string>> m_changed;
 };
--- a/main/control_runtime.cpp
+++ b/main/control_runtime.cpp
@@ -176,7 +176,7 @@
             m_onDocument(document->version);
     } else if (const control::LeaderChanged* change = std::get_if<control::LeaderChanged>(&effect)) {
         if (m_onLeader)
-            m_onLeader(change->leads);
+            m_onLeader(*change);
     } else if (const LogEvent* event = std::get_if<LogEvent>(&effect)) {
         m_sink.log(*event);
     }
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -48,7 +48,7 @@
               [this](const InstanceName& to, const control::PeerMessage& message) { links.sendToPeer(to, message); })
         , memberChangePlanner(std::max<std::size_t>(kMinimumVoters, static_cast<std::size_t>(2 * settings.toleratedDiskLosses + 1)))
         , publisher(links.loop(), runtime, sink)
-        , poller(threads, settings.serverList, settings.listCallsPerSecond, sink, [this](routing::ServerList servers) { publisher.setServers(std::move(servers)); })
+        , poller(threads, settings.serverList, settings.listCallsPerSecond, sink, [this](routing::ServerList servers, TimePoint fetchStartedAt) { publish(std::move(servers), fetchStartedAt); })
         , api(runtime, sink, settings.http.port)
         , seeds(settings.groupConnection.seeds)
     {
@@ -91,10 +91,10 @@
         handlers.peer = [this](const InstanceName& from, control::PeerMessage message) { runtime.receive(from, std::move(message)); };
         handlers.join = [this](const InstanceName& name) { memberChangePlanner.recordJoinRequest(name, transport::monotonicNow()); };
         handlers.watch = [this](control::WatchRequest request, transport::FrameResponder respond) { publisher.watch(std::move(request), std::move(respond)); };
-        runtime.onLeader([this](bool leads) {
-            publisher.leaderChanged(leads);
+        runtime.onLeader([this](const control::LeaderChanged& change) {
+            publisher.leaderChanged(change);
             // A new leader fetches the server list without waiting for the next tick.
-            if (leads)
+            if (change.leads)
                 checkGroup();
         });
         runtime.onDocument([this](std::uint64_t) { publisher.documentChanged(); });
@@ -155,6 +155,15 @@
         });
     }
 
+    void publish(routing::ServerList servers, TimePoint fetchStartedAt)
+    {
+        links.loop().post([this, servers = std::move(servers), fetchStartedAt]() mutable {
+            // A list that is too old is fetched again at the next tick.
+            if (!publisher.setServers(std::move(servers), fetchStartedAt))
+                lastPoll = {};
+        });
+    }
+
     void join(const control::ReplicaStatus& status, TimePoint now)
     {
         lastJoin = now;
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -15,8 +15,6 @@
     constexpr Micros kMaximumWait { 250'000 };
     // Maximum wait for a leader. Short, because in a partition the leader may be in another part of the group.
     constexpr Micros kMaximumWaitWithoutLeader { 150'000 };
-    // The leader fetches the list every second, so an older list predates the leadership of another instance.
-    constexpr Micros kMaximumListAge { 2'000'000 };
     // An entry instance that has sent no watch request for this long no longer counts when limits are divided among instances.
     constexpr Micros kEntryInstanceTimeout { 6'000'000 };
 }
@@ -93,15 +91,19 @@
     ++m_entryListVersion.revision;
 }
 
-void FeedPublisher::setServers(routing::ServerList servers)
+bool FeedPublisher::setServers(routing::ServerList servers, TimePoint fetchStartedAt)
 {
-    m_loop.post([this, servers = std::move(servers)]() mutable {
-        m_serverListTime = transport::monotonicNow();
-        if (!m_history.set(std::move(servers)))
-            return;
-        m_sink.log(events::kServerListChanged, { { "revision", fmt::to_string(m_history.version().revision) }, { "servers", fmt::to_string(m_history.servers().size()) } });
-        replyToAll();
-    });
+    const Micros age = std::chrono::duration_cast<Micros>(transport::monotonicNow() - fetchStartedAt);
+    if (!m_history.accepts(fetchStartedAt)) {
+        m_sink.log(events::kServerListOutdated, { { "servers", fmt::to_string(servers.size()) }, { "age_us", fmt::to_string(age.count()) } });
+        return false;
+    }
+    m_serverListTime = fetchStartedAt;
+    if (!m_history.set(std::move(servers)))
+        return true;
+    m_sink.log(events::kServerListChanged, { { "revision", fmt::to_string(m_history.version().revision) }, { "servers", fmt::to_string(m_history.servers().size()) }, { "age_us", fmt::to_string(age.count()) } });
+    replyToAll();
+    return true;
 }
 
 void FeedPublisher::documentChanged()
@@ -115,12 +117,11 @@
         replyOrWait(std::move(pending), false);
 }
 
-void FeedPublisher::leaderChanged(bool leads)
+void FeedPublisher::leaderChanged(const control::LeaderChanged& change)
 {
-    m_loop.post([this, leads] {
-        // A list from an earlier leadership of this instance would restore servers that have left since.
-        if (leads && transport::monotonicNow() - m_serverListTime > kMaximumListAge)
-            m_history = control::ServerListHistory(generateSeed());
+    m_loop.post([this, change] {
+        if (change.leads)
+            m_history.beginTerm(change.term, generateSeed(), transport::monotonicNow());
         for (PendingWatch& pending : std::exchange(m_pendingWatches, {}))
             replyOrWait(std::move(pending), true);
     });
--- a/main/feed_publisher.h
+++ b/main/feed_publisher.h
@@ -22,12 +22,12 @@
     FeedPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink);
 
     void watch(control::WatchRequest request, transport::FrameResponder respond);
-    // Publishes a complete server list. May be called from any thread.
-    void setServers(routing::ServerList servers);
+    // Publishes a complete server list. Returns false if it may be older than a list that another leader has published.
+    bool setServers(routing::ServerList servers, TimePoint fetchStartedAt);
     // Answers all pending watch requests after a document has been committed. May be called from any thread.
     void documentChanged();
     // Re-evaluates all pending watch requests after a change of leader. May be called from any thread.
-    void leaderChanged(bool leads);
+    void leaderChanged(const control::LeaderChanged& change);
     // Answers the watch requests whose maximum wait has passed.
     void tick();
 
@@ -54,6 +54,7 @@
     // The entry instances in the last reply and the version of that list.
     std::vector<InstanceName> m_entryInstances;
     control::ListVersion m_entryListVersion;
+    // Time at which the fetch of the current server list began.
     TimePoint m_serverListTime;
 };
 
--- a/main/server_list_poller.cpp
+++ b/main/server_list_poller.cpp
@@ -77,7 +77,7 @@
             sink.log(events::kServerListRegained, { { "servers", fmt::to_string(servers.size()) } });
         if (unreadable != std::exchange(lastUnreadable, unreadable))
             sink.log(events::kServerListUnreadable, { { "entries", fmt::to_string(unreadable) } });
-        callback(std::move(servers));
+        callback(std::move(servers), startedAt);
         endFetch();
     }
 
@@ -104,6 +104,7 @@
     std::mutex mutex;
     bool isRunning = false;
     // State of the fetch in progress.
+    TimePoint startedAt;
     routing::ServerList servers;
     std::size_t pages = 0;
     std::size_t unreadable = 0;
@@ -123,6 +124,7 @@
         if (std::exchange(m_state->isRunning, true))
             return;
     }
+    m_state->startedAt = transport::monotonicNow();
     m_state->servers.clear();
     m_state->pages = 0;
     m_state->unreadable = 0;
--- a/main/server_list_poller.h
+++ b/main/server_list_poller.h
@@ -16,7 +16,7 @@
 // Fetches the platform's complete list of backend servers, page by page, within a limit on the call rate.
 class ServerListPoller {
 public:
-    using Callback = std::function<void(routing::ServerList servers)>;
+    using Callback = std::function<void(routing::ServerList servers, TimePoint fetchStartedAt)>;
 
     // The callback receives each complete list, on an I/O thread.
     ServerListPoller(transport::IoThreads& threads, transport::Endpoint address, double callsPerSecond, transport::EventSink& sink, Callback callback);
--- a/tests/control/server_list_history_test.cpp
+++ b/tests/control/server_list_history_test.cpp
@@ -88,6 +88,30 @@
     BOOST_TEST(history.version().revision == 2u);
 }
 
+// Guards against requests to servers that have left: an instance that leads again, or one whose fetch was interrupted by a pause,
+// published a list that was older than that of the leader in between.
+BOOST_AUTO_TEST_CASE(AListFetchedBeforeTheTermIsNotPublished)
+{
+    const ServerList beforeLeaving { { "i1", "a", "10.0.0.1:80", "dc-a", 2, false, Micros { 0 } } };
+    const TimePoint start { Micros { 10'000'000 } };
+    ServerListHistory history(7);
+    history.beginTerm(1, 8, start);
+    BOOST_TEST(history.accepts(start));
+    history.set(beforeLeaving);
+    // The lease is lost and regained in the same term: no other instance has led.
+    history.beginTerm(1, 9, start + Micros { 500'000 });
+    BOOST_TEST(history.known());
+    BOOST_TEST(history.version().epoch == 8u);
+
+    // Another instance leads in between for a moment, in term 2.
+    const TimePoint again = start + Micros { 1'000'000 };
+    history.beginTerm(3, 10, again);
+    BOOST_TEST(!history.known());
+    BOOST_TEST(history.version().epoch == 10u);
+    BOOST_TEST(!history.accepts(again - Micros { 1 }));
+    BOOST_TEST(history.accepts(again));
+}
+
 // Guards against changes computed from a list of another leader or from a revision that is too old.
 BOOST_AUTO_TEST_CASE(UnknownVersionsGetTheWholeList)
 {
