--- a/routing/events.h
+++ b/routing/events.h
@@ -22,6 +22,10 @@
     inline constexpr EventDescription kServersListed { 8024, "servers_listed", Severity::Information, "A server list, such as the first one after a start, adds many servers; they are counted instead of named." };
     inline constexpr EventDescription kServerUnverified { 8025, "server_unverified", Severity::Warning, "A server was silent or a connection to it failed; without an open connection it gets no requests until one opens." };
     inline constexpr EventDescription kServerVerified { 8026, "server_verified", Severity::Information, "A server that was silent or refused a connection can be reached again." };
+    inline constexpr EventDescription kServerLimitNamed { 8040, "server_limit_named", Severity::Information, "A server named the number of requests a second that it takes from all instances together." };
+    inline constexpr EventDescription kServerLimitChanged { 8041, "server_limit_changed", Severity::Information, "A server named another limit than before; at most one line a second for each server." };
+    inline constexpr EventDescription kServerLimitEnded { 8042, "server_limit_ended", Severity::Information, "A server's replies no longer name a limit." };
+    inline constexpr EventDescription kServerLimitUnreadable { 8043, "server_limit_unreadable", Severity::Warning, "A server named a limit that is no number, negative or infinite; the limit of before, if any, stays; at most one line a second for each server." };
     inline constexpr EventDescription kDocumentApplied { 8030, "document_applied", Severity::Information, "This instance applied a newer version of the route document." };
     inline constexpr EventDescription kInstancesChanged { 8031, "instances_changed", Severity::Information, "The number of entry instances changed; this instance's share of connections and additional attempts is updated." };
 
@@ -41,6 +45,10 @@
     &events::kServersListed,
     &events::kServerUnverified,
     &events::kServerVerified,
+    &events::kServerLimitNamed,
+    &events::kServerLimitChanged,
+    &events::kServerLimitEnded,
+    &events::kServerLimitUnreadable,
     &events::kDocumentApplied,
     &events::kInstancesChanged,
 };
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -51,12 +51,19 @@
     { ReplyKind::Unusable, "unusable" },
 } };
 
+// Limit that a server named with a reply: the requests a second that it takes from all instances together.
+struct NamedLimit {
+    // Finite and not negative. Empty if the server named something else.
+    std::optional<double> requestsPerSecond;
+};
+
 struct ServerReply {
     ReplyKind kind = ReplyKind::Unusable;
     unsigned status = 0;
     // The server's signature over its answer.
     std::string stamp;
     std::optional<ServerLoad> load;
+    std::optional<NamedLimit> limit;
     // End-to-end header fields, forwarded unchanged.
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
--- a/routing/reply_classification.h
+++ b/routing/reply_classification.h
@@ -19,6 +19,7 @@
     // True if a content encoding was applied, so that the body differs from what the server signed.
     bool encoded = false;
     std::optional<ServerLoad> load;
+    std::optional<NamedLimit> limit;
 };
 
 // Classifies a complete reply to the given request.
--- a/routing/router.h
+++ b/routing/router.h
@@ -207,6 +207,10 @@
     void reassignWaiting(RequestKey key, Request& request, std::size_t index);
     policy::AdditionalAttemptBudget& budgetOf(const CollectionName& collection);
 
+    // router_limits.cpp: limits that servers name
+    void updateLimit(Server& server, const Attempt& attempt, const std::optional<NamedLimit>& named);
+    void logLimit(const EventDescription& description, Server& server, bool isRepeated);
+
     // router_requests.cpp: evaluation, answers and refusals of requests
     void evaluate(RequestKey key);
     void scheduleHedge(Request& request);
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -165,6 +165,9 @@
         server.ownAttemptsInLoad = static_cast<std::uint32_t>(server.unanswered.size());
     }
     const ReplyKind kind = event.reply.kind;
+    // Other replies may be of another server or to another request.
+    if (kind == ReplyKind::Success || kind == ReplyKind::Failure || kind == ReplyKind::NotExecuted)
+        updateLimit(server, attempt, event.reply.limit);
     if (kind == ReplyKind::WrongInstance && !server.isRetired) {
         server.retire(m_now);
         log(events::kServerReplaced, { { "server", server.record.instance }, { "address", server.record.address } });
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -48,6 +48,11 @@
     // Number of this instance's attempts that the reported load included.
     std::uint32_t ownAttemptsInLoad = 0;
     TimePoint lastReply = TimePoint::min();
+    // Requests a second that the server says it takes from all instances together, and the times at which it last said so and at
+    // which that was last logged.
+    std::optional<double> namedLimit;
+    TimePoint limitNamedAt = TimePoint::min();
+    TimePoint limitLoggedAt = TimePoint::min();
     // True after the server was silent or a connection to it failed, until a connection opens or a reply arrives. Without an open
     // connection such a server gets no requests.
     bool isUnverified = false;
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -5,6 +5,10 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+#include <optional>
+#include <string>
+
 using namespace curranttrail;
 using namespace curranttrail::platform;
 
@@ -90,7 +94,7 @@
     BOOST_TEST(*transport::findField(forwarded, kExpectedInstanceField) == "i1");
 }
 
-// Guards against misparsed load fields, and against a load decoded from an invalid field.
+// Guards against misparsed load and limit fields, and against a load or a limit decoded from an invalid field.
 BOOST_AUTO_TEST_CASE(ReplyHeadsAreDecoded)
 {
     transport::RawReply reply { 200, { { "X-Curranttrail-Server-Load", "1, 4,2,250" }, { "X-Curranttrail-Server-Stamp", "s" }, { "Content-Encoding", "gzip" } }, {} };
@@ -104,6 +108,14 @@
         reply.fields[0].second = text;
         BOOST_TEST(!decodeReplyHeader(reply).load.has_value());
     }
+    BOOST_TEST(!header.limit.has_value());
+    reply.fields.emplace_back("Server-Limit", "");
+    for (const auto& [text, value] : std::map<std::string, std::optional<double>> { { "25.9", 25.9 }, { " 0 ", 0.0 }, { "1e300", 1e300 }, { "-3", std::nullopt }, { "", std::nullopt }, { "nan", std::nullopt }, { "inf", std::nullopt }, { "5 a second", std::nullopt }, { "1e999", std::nullopt } }) {
+        reply.fields.back().second = text;
+        header = decodeReplyHeader(reply);
+        BOOST_TEST_REQUIRE(header.limit.has_value());
+        BOOST_TEST((header.limit->requestsPerSecond == value), text);
+    }
     const transport::HttpFields merged = mergedReplyFields({ "a", "b" }, 1);
     BOOST_TEST(*transport::findField(merged, kPartStampsField) == "a, b");
     BOOST_TEST(*transport::findField(merged, kMissingPartsField) == "1");
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -117,6 +117,44 @@
     BOOST_TEST(fields["list"] == "42");
 }
 
+// Guards against a limit of which the log does not tell since when it held, and against a line for each reply of a server whose limit
+// keeps changing.
+BOOST_AUTO_TEST_CASE(ALimitIsLoggedWhenItIsNamedChangedAndEnded)
+{
+    RouterHarness harness;
+    harness.setUpCollections(1, 1.0);
+    std::erase_if(harness.serverList, [](const ServerRecord& record) { return record.instance == "s0b"; });
+    harness.publish();
+    const auto exchange = [&](std::optional<NamedLimit> limit) {
+        harness.sendRequest("/search/x");
+        ServerReply reply = RouterHarness::success("stamp");
+        reply.limit = limit;
+        const std::vector<SendAttempt> sent = harness.takeSent();
+        BOOST_TEST_REQUIRE(sent.size() == 1u);
+        harness.advance(milliseconds { 1 });
+        harness.reply(sent.front(), std::move(reply));
+        std::map<const EventDescription*, int> lines;
+        for (const LogEvent& line : harness.takeEffects<LogEvent>())
+            ++lines[line.description];
+        return lines;
+    };
+    constexpr double kAmple = 1e6;
+    BOOST_TEST(exchange(std::nullopt)[&events::kServerLimitNamed] == 0);
+    BOOST_TEST(exchange(NamedLimit { kAmple })[&events::kServerLimitNamed] == 1);
+    int changes = 0;
+    for (int n = 1; n <= 300; ++n) {
+        harness.advance(milliseconds { 9 });
+        changes += exchange(NamedLimit { kAmple + n })[&events::kServerLimitChanged];
+    }
+    BOOST_TEST(changes >= 2);
+    BOOST_TEST(changes <= 4);
+    harness.advance(milliseconds { 1'000 });
+    std::map<const EventDescription*, int> unreadable = exchange(NamedLimit {});
+    BOOST_TEST(unreadable[&events::kServerLimitUnreadable] == 1);
+    BOOST_TEST(unreadable[&events::kServerLimitEnded] == 0);
+    BOOST_TEST(exchange(std::nullopt)[&events::kServerLimitEnded] == 1);
+}
+
 // Guards against a merge that loses records, orders them wrongly or miscounts the shard replies.
 BOOST_AUTO_TEST_CASE(AScatterMergesTheGreatestRecords)
 {
