--- a/policy/additional_attempt_budget.cpp
+++ b/policy/additional_attempt_budget.cpp
@@ -1,6 +1,7 @@
 #include "policy/additional_attempt_budget.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace curranttrail::policy {
 
@@ -15,47 +16,24 @@
 } // namespace
 
 AdditionalAttemptBudget::AdditionalAttemptBudget(const AdditionalAttemptLimits& limits, std::uint32_t instances, TimePoint now)
-    : m_refilledAt(now)
+    : m_bucket(now)
 {
-    configure(limits, instances, now);
-    m_tokens = m_capacity;
+    m_bucket.add(configure(limits, instances, now), now);
 }
 
-void AdditionalAttemptBudget::configure(const AdditionalAttemptLimits& limits, std::uint32_t instances, TimePoint now)
+double AdditionalAttemptBudget::configure(const AdditionalAttemptLimits& limits, std::uint32_t instances, TimePoint now)
 {
-    refill(now);
     const double share = limits.allowance / std::max(1U, instances);
+    const double seconds = std::max(1e-6, std::chrono::duration<double>(limits.window).count());
+    const double capacity = std::max(kMinimumCapacity, share * kBurstAllowanceShare);
     m_tokensPerFirstAttempt = limits.ratio * kUsableRatioShare;
-    m_tokensPerMicro = share * kRefilledAllowanceShare / static_cast<double>(std::max<Micros::rep>(1, limits.window.count()));
-    m_capacity = std::max(kMinimumCapacity, share * kBurstAllowanceShare);
-    m_tokens = std::min(m_tokens, m_capacity);
-}
-
-void AdditionalAttemptBudget::refill(TimePoint now)
-{
-    if (now > m_refilledAt)
-        m_tokens = std::min(m_capacity, m_tokens + static_cast<double>((now - m_refilledAt).count()) * m_tokensPerMicro);
-    m_refilledAt = std::max(m_refilledAt, now);
+    m_bucket.configure(share * kRefilledAllowanceShare / seconds, capacity, now);
+    return capacity;
 }
 
 void AdditionalAttemptBudget::onFirstAttempt(TimePoint now)
 {
-    refill(now);
-    m_tokens = std::min(m_capacity, m_tokens + m_tokensPerFirstAttempt);
-}
-
-bool AdditionalAttemptBudget::canAcquire(TimePoint now)
-{
-    refill(now);
-    return m_tokens >= 1;
-}
-
-bool AdditionalAttemptBudget::tryAcquire(TimePoint now)
-{
-    if (!canAcquire(now))
-        return false;
-    m_tokens -= 1;
-    return true;
+    m_bucket.add(m_tokensPerFirstAttempt, now);
 }
 
 } // namespace curranttrail::policy
--- a/policy/additional_attempt_budget.h
+++ b/policy/additional_attempt_budget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/units.h"
+#include "policy/token_bucket.h"
 
 #include <cstdint>
 
@@ -21,20 +22,16 @@
 public:
     AdditionalAttemptBudget(const AdditionalAttemptLimits& limits, std::uint32_t instances, TimePoint now);
 
-    void configure(const AdditionalAttemptLimits& limits, std::uint32_t instances, TimePoint now);
+    // Returns the number of tokens that a full budget holds.
+    double configure(const AdditionalAttemptLimits& limits, std::uint32_t instances, TimePoint now);
     void onFirstAttempt(TimePoint now);
-    bool canAcquire(TimePoint now);
+    bool canAcquire(TimePoint now) const { return m_bucket.timeUntilToken(now) == Micros { 0 }; }
     // Takes a token for one additional attempt. Returns false if there is none.
-    bool tryAcquire(TimePoint now);
+    bool tryAcquire(TimePoint now) { return m_bucket.tryAcquire(now); }
 
 private:
-    void refill(TimePoint now);
-
     double m_tokensPerFirstAttempt = 0;
-    double m_tokensPerMicro = 0;
-    double m_capacity = 0;
-    double m_tokens = 0;
-    TimePoint m_refilledAt;
+    TokenBucket m_bucket;
 };
 
 } // namespace curranttrail::policy
