Keep each instance to its share of the requests that a server says it takes

What callers and servers saw: a server that named a limit of 22 to 27 requests a second got 195 to 201 in 4 s, as many as without a limit.

ServerLimits/* with the check of the limit taken out: 68 checks red, such as 226 requests of 160 allowed and 624 after a pause; green with it.

--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -349,6 +349,8 @@
         add("repeats_denied_total", "", counters.additionalAttemptsDenied);
         add("failed_attempts_total", "", counters.attemptsFailed);
         add("server_connections_opened_total", "", counters.connectionsOpened);
+        add("held_back_total", "", counters.heldBack);
+        add("limited_servers", "", counters.limitedServers);
         add("requests_in_flight", "", router.requestsInFlight());
         add("document_version", "", router.documentVersion());
         add("log_lines_dropped_total", "", sink.droppedLines());
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -186,16 +186,19 @@
     // The document has no route, but control has not confirmed lately that it is the newest.
     DocumentUnconfirmed,
     NoServer,
+    // The limits that servers name leave this instance too few requests at present.
+    ServerLimit,
     Overloaded,
     AttemptsFailed,
     TimedOut,
 };
 
-inline constexpr std::array<EnumName<RefusalReason>, 7> kRefusalReasonNames { {
+inline constexpr std::array<EnumName<RefusalReason>, 8> kRefusalReasonNames { {
     { RefusalReason::NotReady, "not_ready" },
     { RefusalReason::NoRoute, "no_route" },
     { RefusalReason::DocumentUnconfirmed, "document_unconfirmed" },
     { RefusalReason::NoServer, "no_server" },
+    { RefusalReason::ServerLimit, "server_limit" },
     { RefusalReason::Overloaded, "overloaded" },
     { RefusalReason::AttemptsFailed, "attempts_failed" },
     { RefusalReason::TimedOut, "timed_out" },
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -123,14 +123,17 @@
     for (CollectionName& collection : collectionsOf(*route)) {
         Part& part = request.parts.emplace_back();
         part.collection = std::move(collection);
-        if (!m_servers.hasUsable(part.collection)) {
-            part.state = PartState::Failed;
-            ++request.failed;
-        }
+        const Availability availability = m_servers.availability(part.collection, route->priority, m_now);
+        if (availability == Availability::Available)
+            continue;
+        part.state = PartState::Failed;
+        ++request.failed;
+        request.limited += availability == Availability::LimitReached ? 1 : 0;
     }
     // Nothing is sent if the required coverage cannot be reached.
-    if (!coversEnough(request, request.parts.size() - request.failed)) {
-        refuse(event.key, RefusalReason::NoServer);
+    const std::size_t open = request.parts.size() - request.failed;
+    if (!coversEnough(request, open)) {
+        refuse(event.key, coversEnough(request, open + request.limited) ? RefusalReason::ServerLimit : RefusalReason::NoServer);
         return;
     }
     for (std::size_t n = 0; n < request.parts.size(); ++n) {
@@ -291,6 +294,8 @@
     logNewServers(changes, Micros { 0 });
     if (m_servers.expireShares(m_now) || !changes.added.empty())
         updateQuotasAndBudgets();
+    if (m_counters.limitedServers > 0)
+        m_counters.limitedServers = m_servers.updateRateLimits(m_now);
     warmConnections();
 }
 
--- a/routing/router.h
+++ b/routing/router.h
@@ -43,6 +43,10 @@
     std::uint64_t additionalAttemptsDenied = 0;
     std::uint64_t attemptsFailed = 0;
     std::uint64_t connectionsOpened = 0;
+    // Parts of requests that a limit named by a server kept from being sent to it. They went to another server or were not sent.
+    std::uint64_t heldBack = 0;
+    // Number of servers that name a limit at present.
+    std::size_t limitedServers = 0;
 };
 
 // Routes raw requests to backend servers: to one server, or to one server of each shard with a merge of the shard replies.
@@ -113,6 +117,8 @@
         // Number of hedges and retries that were started.
         std::uint32_t additionalAttempts = 0;
         bool denialLogged = false;
+        // Number of parts that were not sent because of the limits that servers name.
+        std::size_t limited = 0;
     };
 
     struct Attempt {
@@ -122,6 +128,8 @@
         std::optional<ConnectionId> connection;
         TimePoint sentAt;
         bool isAbandoned = false;
+        // True if the attempt took a token of the server's limit.
+        bool holdsToken = false;
         std::uint32_t priority = 0;
         LatencyProfile* profile = nullptr;
     };
@@ -210,6 +218,9 @@
     // router_limits.cpp: limits that servers name
     void updateLimit(Server& server, const Attempt& attempt, const std::optional<NamedLimit>& named);
     void logLimit(const EventDescription& description, Server& server, bool isRepeated);
+    void recordHeldBack(const Request& request);
+    void releaseToken(const Attempt& attempt);
+    Micros retryAfterLimit(const Request& request);
 
     // router_requests.cpp: evaluation, answers and refusals of requests
     void evaluate(RequestKey key);
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -37,7 +37,10 @@
     estimate.typical = request.profile->durations.weight() >= kMinimumSamples ? request.profile->durations.median() : request.route->latencyObjective / kInitialDurationDivisor;
     estimate.failureCost = request.route->latencyObjective / kFailureCostDivisor;
     estimate.pauseThreshold = request.profile->hedgeDelay.count() > 0 ? request.profile->hedgeDelay : request.route->latencyObjective / 3;
+    estimate.priority = request.route->priority;
     Server* server = m_servers.choose(part.collection, part.tried, estimate, m_random, m_now);
+    if (m_counters.limitedServers > 0 && m_servers.recordHeldBack(part.collection, request.route->priority, m_now))
+        ++m_counters.heldBack;
     if (!server || server->waiting.size() >= kMaximumWaitingPerConnection * std::max(1U, server->connectionQuota))
         return false;
     const AttemptId id { ++m_lastAttempt };
@@ -46,6 +49,7 @@
     attempt.part = index;
     attempt.server = server;
     attempt.priority = request.route->priority;
+    attempt.holdsToken = server->rateLimit && server->rateLimit->tryAcquire(attempt.priority, m_now);
     attempt.profile = request.profile;
     part.tried.push_back(server);
     ++part.inFlight;
@@ -104,6 +108,7 @@
         return;
     Attempt& attempt = it->second;
     if (!attempt.connection) {
+        releaseToken(attempt);
         std::erase(attempt.server->waiting, id);
         m_attempts.erase(it);
         return;
--- a/routing/router_connections.cpp
+++ b/routing/router_connections.cpp
@@ -223,6 +223,7 @@
         if (it == m_attempts.end())
             continue;
         const Attempt attempt = it->second;
+        releaseToken(attempt);
         m_attempts.erase(it);
         attemptFailed(attempt.request, attempt.part, &server, AttemptProgress::NotSent, "server has no usable connection");
     }
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -135,7 +135,7 @@
     answer.body = request.merge->takeRecords();
     const Micros elapsed = recordAnswer(request);
     m_counters.partial += answer.missing > 0 ? 1 : 0;
-    log(events::kRequestAnswered, { { "request", request.id }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "parts", fmt::to_string(request.done) }, { "missing", fmt::to_string(answer.missing) }, { "repeats", fmt::to_string(request.additionalAttempts) }, { "elapsed_us", fmt::to_string(elapsed.count()) } });
+    log(events::kRequestAnswered, { { "request", request.id }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "parts", fmt::to_string(request.done) }, { "missing", fmt::to_string(answer.missing) }, { "limited", fmt::to_string(request.limited) }, { "repeats", fmt::to_string(request.additionalAttempts) }, { "elapsed_us", fmt::to_string(elapsed.count()) } });
     m_effects.emplace_back(std::move(answer));
     end(key, false);
 }
@@ -202,10 +202,12 @@
     refusal.notRun = verdictOf(request) == Verdict::NotRun;
     const std::vector<AttemptId> live = liveAttempts(request);
     refusal.unanswered = static_cast<std::size_t>(std::count_if(live.begin(), live.end(), [this](AttemptId id) { return m_attempts.at(id).connection.has_value(); }));
+    if (reason == RefusalReason::ServerLimit)
+        recordHeldBack(request);
     if (refusal.notRun)
-        refusal.retryAfter = randomRetryAfter();
+        refusal.retryAfter = reason == RefusalReason::ServerLimit ? retryAfterLimit(request) : randomRetryAfter();
     ++m_counters.refused[static_cast<std::size_t>(reason)];
-    std::vector<EventField> fields { { "request", request.id }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "reason", std::string { nameOf(kRefusalReasonNames, reason) } }, { "not_run", refusal.notRun ? "true" : "false" }, { "parts", fmt::to_string(request.done) }, { "failed", fmt::to_string(request.failed) }, { "open", describeLiveAttempts(request) }, { "repeatable", request.route->repeatable ? "true" : "false" }, { "attempt_limit", fmt::to_string(request.route->maximumAttempts) }, { "repeats", fmt::to_string(request.additionalAttempts) }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } };
+    std::vector<EventField> fields { { "request", request.id }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "reason", std::string { nameOf(kRefusalReasonNames, reason) } }, { "not_run", refusal.notRun ? "true" : "false" }, { "parts", fmt::to_string(request.done) }, { "failed", fmt::to_string(request.failed) }, { "limited", fmt::to_string(request.limited) }, { "open", describeLiveAttempts(request) }, { "repeatable", request.route->repeatable ? "true" : "false" }, { "attempt_limit", fmt::to_string(request.route->maximumAttempts) }, { "repeats", fmt::to_string(request.additionalAttempts) }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } };
     appendControlState(fields);
     log(events::kRequestRefused, std::move(fields));
     m_effects.emplace_back(refusal);
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -256,6 +256,8 @@
             continue;
         if (server->connections == 0 && !server->canOpenConnection(now))
             continue;
+        if (!server->isWithinLimit(estimate.priority, now))
+            continue;
         const double micros = cost(*server, estimate, now) + jitter(random);
         if (best && micros >= lowestCost)
             continue;
@@ -265,10 +267,58 @@
     return best;
 }
 
-bool ServerTable::hasUsable(const CollectionName& collection) const
+Availability ServerTable::availability(const CollectionName& collection, std::uint32_t priority, TimePoint now) const
+{
+    Availability best = Availability::NoServer;
+    for (const Server* server : serversOf(collection)) {
+        if (!server->acceptsWork() || !server->isReachable())
+            continue;
+        if (server->isWithinLimit(priority, now))
+            return Availability::Available;
+        best = Availability::LimitReached;
+    }
+    return best;
+}
+
+bool ServerTable::recordHeldBack(const CollectionName& collection, std::uint32_t priority, TimePoint now)
+{
+    bool isHeldBack = false;
+    for (Server* server : serversOf(collection)) {
+        if (!server->acceptsWork() || !server->isReachable() || server->isWithinLimit(priority, now))
+            continue;
+        server->rateLimit->onHeldBack(priority, now);
+        isHeldBack = true;
+    }
+    return isHeldBack;
+}
+
+void ServerTable::keepTokens(const CollectionName& collection, TimePoint now)
+{
+    for (Server* server : serversOf(collection)) {
+        if (server->rateLimit)
+            server->rateLimit->keepToken(now);
+    }
+}
+
+Micros ServerTable::timeUntilAvailable(const CollectionName& collection, std::uint32_t priority, TimePoint now) const
 {
-    const std::vector<Server*>& servers = serversOf(collection);
-    return std::any_of(servers.begin(), servers.end(), [](const Server* server) { return server->acceptsWork() && server->isReachable(); });
+    Micros shortest = Micros::max();
+    for (const Server* server : serversOf(collection)) {
+        if (server->acceptsWork() && server->isReachable())
+            shortest = std::min(shortest, server->rateLimit ? server->rateLimit->timeUntilAvailable(priority, now) : Micros { 0 });
+    }
+    return shortest;
+}
+
+std::size_t ServerTable::updateRateLimits(TimePoint now)
+{
+    std::size_t limited = 0;
+    for (const auto& [instance, server] : m_servers) {
+        if (server->rateLimit && !server->rateLimit->update(instanceCount(now), now))
+            server->rateLimit.reset();
+        limited += server->rateLimit ? 1 : 0;
+    }
+    return limited;
 }
 
 bool ServerTable::otherDataCentresAreSilent(TimePoint now) const
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -5,6 +5,7 @@
 #include "core/units.h"
 #include "policy/connection_shares.h"
 #include "policy/server_health.h"
+#include "policy/server_rate_limit.h"
 #include "routing/messages.h"
 #include "routing/server_quality.h"
 
@@ -48,9 +49,9 @@
     // Number of this instance's attempts that the reported load included.
     std::uint32_t ownAttemptsInLoad = 0;
     TimePoint lastReply = TimePoint::min();
-    // Requests a second that the server says it takes from all instances together, and the times at which it last said so and at
-    // which that was last logged.
-    std::optional<double> namedLimit;
+    // This instance's share of the requests a second that the server says it takes from all instances together.
+    std::optional<policy::ServerRateLimit> rateLimit;
+    // Times at which the server last named its limit and at which that was last logged.
     TimePoint limitNamedAt = TimePoint::min();
     TimePoint limitLoggedAt = TimePoint::min();
     // True after the server was silent or a connection to it failed, until a connection opens or a reply arrives. Without an open
@@ -76,6 +77,8 @@
     // Returns whether the server has sent nothing since an attempt that was sent some time ago.
     bool isSilent(TimePoint now) const;
     bool isReachable() const { return !isUnverified || connections > opening; }
+    // Returns whether a request of this priority may be sent as far as the limit that the server names is concerned.
+    bool isWithinLimit(std::uint32_t priority, TimePoint now) const { return !rateLimit || rateLimit->canAcquire(priority, now); }
     bool hasIdleConnection() const { return !idle.empty(); }
     bool canOpenConnection(TimePoint now) const;
     std::uint32_t outstandingAttempts() const { return static_cast<std::uint32_t>(unanswered.size() + waiting.size()); }
@@ -87,10 +90,21 @@
     Micros typical { 0 };
     // Age of an unanswered attempt above which its server counts as paused.
     Micros pauseThreshold { 0 };
+    // Priority of the request. A lower value is more urgent.
+    std::uint32_t priority = 0;
     // Cost of a failed attempt: the delay of its retry and the use of the budget of additional attempts.
     Micros failureCost { 0 };
 };
 
+// Whether a request can be sent to some server of a collection now.
+enum class Availability {
+    // No server accepts work and can be reached.
+    NoServer,
+    // The limits that the servers name leave this instance no request at present.
+    LimitReached,
+    Available,
+};
+
 // The servers of all collections, with this instance's observations of each.
 class ServerTable {
 public:
@@ -118,8 +132,15 @@
     const std::vector<Server*>& serversOf(const CollectionName& collection) const;
     // Returns the usable server with the lowest expected cost, excluding the avoided ones, or null if there is none.
     Server* choose(const CollectionName& collection, const std::vector<const Server*>& avoided, const WorkEstimate& estimate, Random& random, TimePoint now) const;
-    // Returns whether any server of the collection accepts work and can be reached.
-    bool hasUsable(const CollectionName& collection) const;
+    Availability availability(const CollectionName& collection, std::uint32_t priority, TimePoint now) const;
+    // Records a request at the servers of the collection that may get none at present. Returns whether there are such servers.
+    bool recordHeldBack(const CollectionName& collection, std::uint32_t priority, TimePoint now);
+    // Keeps the unspent tokens of the collection's servers for a request that is refused because of other servers.
+    void keepTokens(const CollectionName& collection, TimePoint now);
+    // Returns the time until a server of the collection may get a request of this priority, or Micros::max() if that is unknown.
+    Micros timeUntilAvailable(const CollectionName& collection, std::uint32_t priority, TimePoint now) const;
+    // Recomputes the shares of the limits that servers name and forgets the limits that have ended. Returns the number of the others.
+    std::size_t updateRateLimits(TimePoint now);
     // Returns whether several servers leave attempts unanswered, at least one in each other data centre, and no server of another
     // data centre replied recently.
     bool otherDataCentresAreSilent(TimePoint now) const;
--- a/tests/routing/route_document_test.cpp
+++ b/tests/routing/route_document_test.cpp
@@ -101,9 +101,9 @@
     BOOST_TEST(!table.find("i1")->acceptsWork());
     serverList.pop_back();
     BOOST_TEST(table.apply(serverList, Micros { 0 }, now).leaving.size() == 1u);
-    BOOST_TEST(!table.hasUsable("a"));
+    BOOST_TEST((table.availability("a", 0, now) == Availability::NoServer));
     BOOST_TEST(table.evictRetired(now).added.empty());
-    BOOST_TEST(!table.hasUsable("a"));
+    BOOST_TEST((table.availability("a", 0, now) == Availability::NoServer));
     BOOST_TEST(table.find("i2") == nullptr);
 }
 
@@ -118,7 +118,7 @@
     BOOST_TEST(table.apply(ServerListDelta { { { "i2", "a", "10.0.0.9:80", "dc-a", 2, false, Micros { 0 } } }, {} }, Micros { 0 }, now).leaving.size() == 1u);
     now += Micros { 1'000'000 };
     BOOST_TEST(table.evictRetired(now).added.empty());
-    BOOST_TEST(!table.hasUsable("a"));
+    BOOST_TEST((table.availability("a", 0, now) == Availability::NoServer));
     now += Micros { 3'000'000 };
     BOOST_TEST(table.evictRetired(now).added.size() == 2u);
     BOOST_TEST(table.find("i1")->acceptsWork());
