Refuse an unknown class as not run while its owner's control has not confirmed the configuration

What callers could see: a 404 unknown_class from an entry instance that had been paused, had lost the control group or had never received the owner's configuration, although the class existed. A 404 ends the caller's attempts.

--- a/main/entry_control.cpp
+++ b/main/entry_control.cpp
@@ -48,7 +48,7 @@
 };
 
 EntryControl::EntryControl(
-    const EntrySettings& settings, std::uint64_t incarnation, transport::EventSink& sink, ReducerThread& reducers, ConfigurationCallback onConfiguration)
+    const EntrySettings& settings, std::uint64_t incarnation, transport::EventSink& sink, ReducerThread& reducers, ConfigurationCallback onConfiguration, ConfirmationCallback onConfirmation)
     : m_name(settings.name)
     , m_owner(settings.owner)
     , m_dataCentre(settings.dataCentre)
@@ -56,6 +56,7 @@
     , m_sink(sink)
     , m_reducers(reducers)
     , m_onConfiguration(std::move(onConfiguration))
+    , m_onConfirmation(std::move(onConfirmation))
     , m_selector(settings.dataCentre)
 {
     m_linkOptions.name = m_name;
@@ -102,7 +103,11 @@
 
 void EntryControl::handleConfiguration(const transport::ConfigurationAnswer& answer)
 {
-    m_reducers.post([this, answer](TimePoint now) { applyConfiguration(m_selector.handleAnswer(answer, now), now); });
+    m_reducers.post([this, answer](TimePoint now) {
+        applyConfiguration(m_selector.handleAnswer(answer, now), now);
+        if (answer.leaderWithLease)
+            m_onConfirmation(answer.controlOwner, now);
+    });
 }
 
 void EntryControl::applyConfiguration(const std::shared_ptr<const ClassTable>& classes, TimePoint now)
--- a/main/entry_control.h
+++ b/main/entry_control.h
@@ -23,10 +23,12 @@
 public:
     // Called on the reducer thread with the class table to apply.
     using ConfigurationCallback = std::function<void(std::shared_ptr<const ClassTable> classes, TimePoint now)>;
+    // Called with each answer of a control leader that holds a valid lease.
+    using ConfirmationCallback = std::function<void(const OwnerName& owner, TimePoint now)>;
     using ClaimCallback = std::function<void(query::ClaimResolved)>;
 
     // Starts to listen for other instances. Throws std::runtime_error if the key or the address cannot be used.
-    EntryControl(const EntrySettings& settings, std::uint64_t incarnation, transport::EventSink& sink, ReducerThread& reducers, ConfigurationCallback onConfiguration);
+    EntryControl(const EntrySettings& settings, std::uint64_t incarnation, transport::EventSink& sink, ReducerThread& reducers, ConfigurationCallback onConfiguration, ConfirmationCallback onConfirmation);
     ~EntryControl();
     EntryControl(const EntryControl&) = delete;
     EntryControl& operator=(const EntryControl&) = delete;
@@ -75,6 +77,7 @@
     transport::EventSink& m_sink;
     ReducerThread& m_reducers;
     ConfigurationCallback m_onConfiguration;
+    ConfirmationCallback m_onConfirmation;
     transport::LinkOptions m_linkOptions;
     // Only used on the reducer thread.
     ConfigurationSelector m_selector;
--- a/main/entry_daemon.cpp
+++ b/main/entry_daemon.cpp
@@ -67,7 +67,9 @@
         , threads(settings.threads)
         , reducer(reducerOptions(settings))
         , queryApi(settings.callers, metrics, [this](query::Event event) { post(std::move(event)); })
-        , control(settings, incarnation, sink, reducers, [this](const std::shared_ptr<const ClassTable>& classes, TimePoint now) { applyConfiguration(classes, now); })
+        , control(
+              settings, incarnation, sink, reducers, [this](const std::shared_ptr<const ClassTable>& classes, TimePoint now) { applyConfiguration(classes, now); },
+              [this](const OwnerName& owner, TimePoint now) { handle(query::ConfigurationConfirmed { owner }, now); })
         , backends(threads, { fmt::format("{}-{:x}", settings.name, incarnation) }, sink, metrics, [this](query::Event event) { post(std::move(event)); })
         , poller(threads, { settings.platform, settings.instancesInterval, settings.reportInterval, settings.pollTimeout, generateSeed() }, directory, sink,
               [this](query::Event event) { post(std::move(event)); })
--- a/query/entry_reducer.cpp
+++ b/query/entry_reducer.cpp
@@ -12,6 +12,8 @@
     // Fraction of the timeout and of the target latency that is reserved for sending the answer.
     constexpr int kMarginDivisor = 50;
     constexpr Micros kMaximumMargin { 2'000 };
+    // The replicas of a group are polled in turn, so its leader answers at least once in this time.
+    constexpr Micros kConfigurationConfirmationLifetime { 3'000'000 };
 
     Micros withoutMargin(Micros duration)
     {
@@ -84,6 +86,12 @@
     return target == configuration->second.classes.end() ? nullptr : &target->second;
 }
 
+bool EntryReducer::isConfigurationConfirmed(const OwnerName& owner) const
+{
+    const auto it = m_confirmedAt.find(owner);
+    return it != m_confirmedAt.end() && m_context.now - it->second < kConfigurationConfirmationLifetime;
+}
+
 RefusalReason EntryReducer::unknownClassReason(const QueryArrived& event) const
 {
     const bool belongsToOtherOwner = std::any_of(m_classes.begin(), m_classes.end(),
@@ -127,6 +135,10 @@
         return;
     }
     const ClassTarget* target = findClass(event.caller, event.className);
+    if (!target && !isConfigurationConfirmed(event.caller)) {
+        refuseImmediately(event, RefusalReason::NotReady, verdictOf({}), "no control leader has confirmed the configuration lately, so the class may exist by now");
+        return;
+    }
     if (!target) {
         refuseImmediately(event, unknownClassReason(event), verdictOf({}), "the caller's owner has no class of this name");
         return;
--- a/query/entry_reducer.h
+++ b/query/entry_reducer.h
@@ -66,6 +66,7 @@
     void on(const PeerReportedLeaving& event);
     void on(const EntryInstancesChanged& event);
     void on(const ConfigurationChanged& event);
+    void on(const ConfigurationConfirmed& event) { m_confirmedAt[event.owner] = m_context.now; }
     void on(const ConnectionOpened& event);
     void on(const ConnectionLost& event);
     void on(const SubqueryReplied& event);
@@ -74,6 +75,8 @@
     void on(const Tick& event);
 
     const ClassTarget* findClass(const OwnerName& owner, const ClassName& name) const;
+    // Returns whether the control leader of the owner has confirmed lately that no newer configuration is in force.
+    bool isConfigurationConfirmed(const OwnerName& owner) const;
     RefusalReason unknownClassReason(const QueryArrived& event) const;
     void refuseImmediately(const QueryArrived& event, RefusalReason reason, Verdict verdict, std::string message);
     bool admit(const QueryArrived& event, const ClassTarget& target, Micros timeout);
@@ -91,6 +94,7 @@
     ReplyHandler m_replies;
     Claims m_claims;
     ClassTable m_classes;
+    std::map<OwnerName, TimePoint> m_confirmedAt;
     TimePoint m_maintainAt = TimePoint::min();
     bool m_wasReady = false;
     bool m_isDraining = false;
--- a/query/messages.h
+++ b/query/messages.h
@@ -189,6 +189,12 @@
     std::shared_ptr<const ClassTable> classes;
 };
 
+// The control leader of an owner, with a valid lease, answered: the configuration of the owner that this instance holds is in force, or
+// a newer one follows.
+struct ConfigurationConfirmed {
+    OwnerName owner;
+};
+
 struct ConnectionOpened {
     ConnectionId connection;
 };
@@ -235,7 +241,7 @@
 struct Tick { };
 
 using Event = std::variant<QueryArrived, CallerDisconnected, ClaimResolved, ServerReport, ServerListChanged, PeerReportedLeaving,
-    EntryInstancesChanged, ConfigurationChanged, ConnectionOpened, ConnectionLost, SubqueryReplied, SubqueryEnded, DrainRequested, Tick>;
+    EntryInstancesChanged, ConfigurationChanged, ConnectionOpened, ConnectionLost, SubqueryReplied, SubqueryEnded, DrainRequested, Tick, ConfigurationConfirmed>;
 
 // ---- Effects: requests to the driver ----
 
--- a/query/serialization.h
+++ b/query/serialization.h
@@ -157,6 +157,12 @@
         cereal::make_nvp("progress", event.progress));
 }
 
+template <typename Archive>
+void serialize(Archive& archive, ConfigurationConfirmed& event)
+{
+    archive(cereal::make_nvp("owner", event.owner));
+}
+
 template <typename Archive>
 void serialize(Archive&, DrainRequested&)
 {
--- a/tests/query/entry_harness.h
+++ b/tests/query/entry_harness.h
@@ -81,6 +81,12 @@
         return report;
     }
 
+    void confirmConfigurations()
+    {
+        for (const char* owner : { "nile", "stone" })
+            handle(ConfigurationConfirmed { owner });
+    }
+
     void configure(std::uint64_t version = 1)
     {
         OwnerConfiguration configuration { "nile", ConfigurationVersion { version }, {} };
@@ -92,6 +98,7 @@
         add("bulk", milliseconds(400), 1.0, true);
         add("once", milliseconds(100), 1.0, false);
         handle(ConfigurationChanged { std::make_shared<const ClassTable>(ClassTable { { "nile", configuration } }) });
+        confirmConfigurations();
     }
 
     void sendServerList()
@@ -114,6 +121,7 @@
         reportAll({ 1 });
         // Passes the grace period for new instances.
         advance(milliseconds(11'000));
+        confirmConfigurations();
         effects.clear();
     }
 
--- a/tests/query/servers_test.cpp
+++ b/tests/query/servers_test.cpp
@@ -192,6 +192,25 @@
     BOOST_TEST((entry.takeSingleEffect<SendRefusal>().reason == RefusalReason::DeadlinePast));
 }
 
+// Guards against a class that is denied on a configuration that control has not confirmed, such as after a pause: the caller would not
+// try another instance.
+BOOST_AUTO_TEST_CASE(AnUnknownClassIsDeniedOnlyOnAConfigurationThatControlConfirms)
+{
+    EntryHarness entry;
+    entry.start(1, 1);
+    entry.advance(milliseconds(5'000));
+    entry.takeEffects<SendRefusal>();
+    entry.submitQuery("nothing");
+    const SendRefusal refused = entry.takeSingleEffect<SendRefusal>();
+    BOOST_TEST((refused.reason == RefusalReason::NotReady && refused.verdict == Verdict::NotRun));
+    entry.handle(ConfigurationConfirmed { "nile" });
+    entry.submitQuery("nothing");
+    BOOST_TEST((entry.takeSingleEffect<SendRefusal>().reason == RefusalReason::UnknownClass));
+    // The configuration of the other owner has never been received.
+    entry.handle(QueryArrived { QueryId { 91 }, "amber", "nothing", milliseconds(10), {}, {}, 0, "" });
+    BOOST_TEST((entry.takeSingleEffect<SendRefusal>().reason == RefusalReason::NotReady));
+}
+
 // Guards against aborting queries at a planned stop.
 BOOST_AUTO_TEST_CASE(DrainFinishesQueriesInFlight)
 {
