--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -8,9 +8,11 @@
 
 using namespace review;
 
-// Pause between the start of the successor and the SIGTERM of the instance that it replaces: x of replace_core in the site file.
-constexpr Millis kReplacementPause { 2'000 };
 constexpr Millis kCatchUp { 4'000 };
+// Pause between the start of the successor and the SIGTERM of the instance that it replaces, which leaves the successor catchUpS.
+constexpr Millis kReplacementPause { 5'000 };
+// Pause between the end of the replaced instance and the loss of a disk.
+constexpr Millis kPauseBeforeLoss { 2'000 };
 constexpr Millis kRecovery { 12'000 };
 constexpr Millis kDownTime { 1'000 };
 constexpr Millis kStableWindow { 4'000 };
@@ -45,19 +47,23 @@
     record.add("planned: coordinator 3 starts with an empty disk at a new address");
     sleepFor(kReplacementPause);
     system.coordinator(kReplaced).signal(SIGTERM);
-    record.add("planned: coordinator 0 gets SIGTERM and does not come back");
+    record.add(format("planned: coordinator 0 gets SIGTERM, %lld ms after the start of its successor", static_cast<long long>(record.elapsed() - started)));
+    if (!system.coordinator(kReplaced).waitForExit(Millis { 6'000 }))
+        throw SetupError { "coordinator 0 does not exit" };
+    const std::int64_t ended = record.elapsed();
+    record.add("coordinator 0 has exited and does not come back");
     if (!system.putConfiguration(document(7), Millis { 5'000 }))
         throw SetupError { "no change is acknowledged after the planned replacement" };
     record.add("version 7 is acknowledged");
-    // The successor no longer counts as lost, and the instance that it replaced neither.
-    sleepFor(Millis { started } + kCatchUp + Millis { 500 } - Millis { record.elapsed() });
+    // Neither the successor counts as lost any more, nor the instance that it replaced.
+    sleepFor(Millis { ended } + kPauseBeforeLoss - Millis { record.elapsed() });
 
     if (isTroubled()) {
         system.coordinator(kWiped).signal(SIGKILL);
         system.coordinator(kWiped).waitForExit(Millis { 1'000 });
         std::filesystem::remove_all(system.dataFolder(kWiped));
         std::filesystem::create_directories(system.dataFolder(kWiped));
-        record.add(format("coordinator 1 is killed and loses its disk, %lld ms after the start of coordinator 3", static_cast<long long>(record.elapsed() - started)));
+        record.add(format("coordinator 1 is killed and loses its disk, %lld ms after the start of coordinator 3 and %lld ms after the end of coordinator 0", static_cast<long long>(record.elapsed() - started), static_cast<long long>(record.elapsed() - ended)));
         sleepFor(kDownTime);
         system.writeCoordinator(kWiped, false, { 1, 2, kSuccessor });
         system.coordinator(kWiped).start();
