--- a/review/support/scenario.cpp
+++ b/review/support/scenario.cpp
@@ -498,7 +498,7 @@
         if (::access((root + "/" + program).c_str(), X_OK) != 0)
             throw SetupError { std::string { program } + " is not built" };
     }
-    std::vector<std::string> ips { "127.0.0.1" };
+    std::vector<std::string> ips { "127.0.0.1", "127.0.0.2" };
     for (std::size_t n = 0; n < m_options.coordinators + kSpareCoordinators; ++n)
         ips.push_back(coordinatorIp(n));
     for (std::size_t n = 0; n < m_options.gateways; ++n)
@@ -519,6 +519,7 @@
     }
     if (m_basePort == 0)
         throw SetupError { "no free ports" };
+    m_listAddress = listAddress();
     std::vector<std::size_t> seeds;
     for (std::size_t n = 0; n < std::min<std::size_t>(m_options.coordinators, 3); ++n)
         seeds.push_back(n);
@@ -565,7 +566,7 @@
     std::ofstream(file) << fill("deploy/coordinator.toml.in",
         { { "nodeName", name }, { "zone", format("z%zu", n % 3) }, { "dataDir", dataFolder(n) }, { "listen.control", controlAddress(n).text() }, { "ip", coordinatorIp(n) },
             { "internalPortRange.0", std::to_string(m_basePort + 4) }, { "internalPortRange.1", std::to_string(m_basePort + 5) }, { "bootstrap", bootstrap ? "true" : "false" },
-            { "faultTolerance.machines", std::to_string(m_options.toleratedMachines) }, { "cloud.address", listAddress().text() }, { "cloud.ratePerS", "46.0" } },
+            { "faultTolerance.machines", std::to_string(m_options.toleratedMachines) }, { "cloud.address", m_listAddress.text() }, { "cloud.ratePerS", "46.0" } },
         seeds);
     if (n < m_coordinators.size())
         return;
--- a/review/support/scenario.h
+++ b/review/support/scenario.h
@@ -225,6 +225,9 @@
     ~System();
 
     Address listAddress() const { return { "127.0.0.1", m_basePort }; }
+    Address otherListAddress() const { return { "127.0.0.2", m_basePort }; }
+    // Sets the address of the list in the settings that are written from now on.
+    void setListAddress(const Address& address) { m_listAddress = address; }
     Address serverAddress(std::size_t n) const { return { format("127.0.1.%zu", n + 1), m_basePort }; }
     Address controlAddress(std::size_t n) const { return { coordinatorIp(n), static_cast<std::uint16_t>(m_basePort + 1) }; }
     Address frontAddress(std::size_t n) const { return { gatewayIp(n), static_cast<std::uint16_t>(m_basePort + 2) }; }
@@ -256,6 +259,7 @@
     Record& m_record;
     std::string m_folder;
     std::uint16_t m_basePort = 0;
+    Address m_listAddress;
     std::vector<std::unique_ptr<Process>> m_coordinators;
     std::vector<std::unique_ptr<Process>> m_gateways;
 };
