--- a/review/support/scenario.cpp
+++ b/review/support/scenario.cpp
@@ -17,6 +17,7 @@
 #include <random>
 #include <sstream>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -270,6 +271,8 @@
         throw SetupError { "cannot start a process" };
     if (m_id > 0)
         return;
+    // Ends with the scenario, also if that is killed.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = ::open(m_logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
