--- a/review/2/scenario.cpp
+++ b/review/2/scenario.cpp
@@ -41,7 +41,8 @@
     caller.endedAt = record.elapsed();
     caller.status = response ? response->status() : 0;
     caller.isCutOff = !response && caller.connection.ended;
-    caller.outcome = response ? "is answered with " + std::to_string(response->status()) : caller.isCutOff ? "gets no answer: the gateway closes the connection" : "is not answered before its deadline";
+    caller.outcome = response ? "is answered with " + std::to_string(response->status()) : caller.isCutOff ? "gets no answer: the gateway closes the connection"
+                                                                                                           : "is not answered before its deadline";
     record.add(format("request %s %s after %lld ms", id.c_str(), caller.outcome.c_str(), static_cast<long long>(caller.endedAt - caller.sentAt)));
 }
 
--- a/review/support/scenario.cpp
+++ b/review/support/scenario.cpp
@@ -201,15 +201,6 @@
     m_socket = -1;
 }
 
-void Connection::reset()
-{
-    if (m_socket < 0)
-        return;
-    const linger option { 1, 0 };
-    ::setsockopt(m_socket, SOL_SOCKET, SO_LINGER, &option, sizeof option);
-    close();
-}
-
 std::optional<Message> readMessage(Connection& connection, Millis limit)
 {
     const Clock::time_point until = Clock::now() + limit;
@@ -443,13 +434,6 @@
     m_entries[entry.id] = entry;
 }
 
-void ServerList::remove(const std::string& id)
-{
-    m_record.add(format("the list does not show server %s any more", id.c_str()));
-    const std::lock_guard lock(m_mutex);
-    m_entries.erase(id);
-}
-
 void ServerList::setForeignEntry(const std::string& bytes)
 {
     const std::lock_guard lock(m_mutex);
--- a/review/support/scenario.h
+++ b/review/support/scenario.h
@@ -78,8 +78,6 @@
     // Returns true if the other end has closed the connection.
     bool isClosedByPeer();
     void close();
-    // Closes the connection with a reset.
-    void reset();
 
     std::string buffer;
     bool ended = false;
@@ -186,7 +184,6 @@
     ServerList(const Address& address, Record& record);
     ~ServerList();
     void set(const ListEntry& entry);
-    void remove(const std::string& id);
     // Adds an entry of another writer, as raw bytes.
     void setForeignEntry(const std::string& bytes);
     // Returns the number of calls that were answered.
