--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -27,7 +27,7 @@
         version);
 }
 
-bool scenario(const std::string& root, Record& record)
+bool scenario(const std::string& root, bool isTroubled, Record& record)
 {
     SystemOptions options;
     options.gateways = 1;
@@ -58,7 +58,7 @@
     // Neither the successor counts as lost any more, nor the instance that it replaced.
     sleepFor(Millis { ended } + kPauseBeforeLoss - Millis { record.elapsed() });
 
-    if (isTroubled()) {
+    if (isTroubled) {
         system.coordinator(kWiped).signal(SIGKILL);
         system.coordinator(kWiped).waitForExit(Millis { 1'000 });
         std::filesystem::remove_all(system.dataFolder(kWiped));
--- a/review/2/scenario.cpp
+++ b/review/2/scenario.cpp
@@ -46,7 +46,7 @@
     record.add(format("request %s %s after %lld ms", id.c_str(), caller.outcome.c_str(), static_cast<long long>(caller.endedAt - caller.sentAt)));
 }
 
-bool scenario(const std::string& root, Record& record)
+bool scenario(const std::string& root, bool isTroubled, Record& record)
 {
     SystemOptions options;
     options.graceS = kGraceS;
@@ -75,7 +75,7 @@
     for (const std::unique_ptr<Server>& server : servers)
         server->setWork(kWork);
     const std::int64_t stoppedAt = record.elapsed();
-    if (isTroubled()) {
+    if (isTroubled) {
         system.gateway(0).signal(SIGTERM);
         record.add("planned: gateway 0 gets SIGTERM");
     }
--- a/review/support/scenario.cpp
+++ b/review/support/scenario.cpp
@@ -657,25 +657,21 @@
     return true;
 }
 
-bool isTroubled()
-{
-    const char* value = std::getenv("TROUBLE");
-    return !value || std::string { value } != "0";
-}
-
 void sleepFor(Millis time) { std::this_thread::sleep_for(time); }
 
-int run(int argc, char** argv, const std::function<bool(const std::string& root, Record& record)>& scenario)
+int run(int argc, char** argv, const Scenario& scenario)
 {
-    if (argc != 3) {
-        std::cerr << "usage: " << argv[0] << " ROOT RECORD\n";
+    const std::string trouble = argc == 4 ? argv[3] : "";
+    if (trouble != "0" && trouble != "1") {
+        std::cerr << "usage: " << argv[0] << " ROOT RECORD TROUBLE\nTROUBLE is 1, or 0 for a run without the disruption.\n";
         return kCouldNotRun;
     }
     ::signal(SIGPIPE, SIG_IGN);
+    const bool isTroubled = trouble == "1";
     Record record(argv[2]);
-    record.add(isTroubled() ? "with the disruption" : "without the disruption");
+    record.add(isTroubled ? "with the disruption" : "without the disruption");
     try {
-        const bool held = scenario(argv[1], record);
+        const bool held = scenario(argv[1], isTroubled, record);
         record.add(held ? "the rule held" : "the rule was broken");
         std::cout << (held ? "the rule held\n" : "the rule was broken\n");
         return held ? kRuleHeld : kRuleBroken;
--- a/review/support/scenario.h
+++ b/review/support/scenario.h
@@ -261,10 +261,10 @@
     std::vector<std::unique_ptr<Process>> m_gateways;
 };
 
-// Returns false if the scenario is to run without the disruption.
-bool isTroubled();
 void sleepFor(Millis time);
-// Runs a scenario and returns the exit code of the program. The scenario returns true if the rule held.
-int run(int argc, char** argv, const std::function<bool(const std::string& root, Record& record)>& scenario);
+// A scenario returns true if the rule held. Without the disruption it does the same otherwise.
+using Scenario = std::function<bool(const std::string& root, bool isTroubled, Record& record)>;
+// Runs a scenario with the arguments "ROOT RECORD TROUBLE" and returns the exit code of the program. TROUBLE is 0 or 1.
+int run(int argc, char** argv, const Scenario& scenario);
 
 } // namespace review
