Let a control instance leave its group before it ends

cause: an instance that got SIGTERM ended without a word, and the group counted it for 4 s more. With its successor the group had four voters, one of them gone, so three were needed; the loss of a disk left two that are intact, which elect nobody. ruled out: letting the replica with the lost disk vote: it acknowledged entries that it no longer holds. Admitting the successor only after the removal: two voters do not survive a loss either. change: an instance that stops asks the leader to count it no longer, and ends once that is committed or the leader says that the group needs it. The leader proposes its own removal.

--- a/control/control_election.cpp
+++ b/control/control_election.cpp
@@ -212,6 +212,9 @@
     const bool unanimous = std::all_of(members().voters.begin(), members().voters.end(), [this](const InstanceName& voter) { return m_grantedVotes.contains(voter); });
     const LogIndex lastIndex = m_log.lastIndex();
     updateProgressMembers();
+    // A leader that has ended is removed as soon as if another member had led meanwhile.
+    if (const auto last = m_progress.find(m_lastLeader); last != m_progress.end() && m_leaderContact)
+        last->second.silentSince = *m_leaderContact;
     if (unanimous) {
         for (auto& [name, progress] : m_progress) {
             const auto grant = m_grantedVotes.find(name);
--- a/control/control_follower.cpp
+++ b/control/control_follower.cpp
@@ -20,6 +20,7 @@
     }
     becomeFollower(term, from);
     m_leaderContact = m_now;
+    m_lastLeader = from;
     restartElectionTimer();
     return true;
 }
--- a/control/control_leader.cpp
+++ b/control/control_leader.cpp
@@ -142,6 +142,7 @@
             Progress progress;
             progress.next = m_log.lastIndex() + 1;
             progress.minimumRound = m_round + 1;
+            progress.silentSince = m_now;
             m_progress.emplace(name, progress);
         }
     }
--- a/control/control_reducer.cpp
+++ b/control/control_reducer.cpp
@@ -244,7 +244,7 @@
     for (const auto& [name, progress] : m_progress) {
         MemberHealth health;
         health.name = name;
-        health.timeSinceReply = now - progress.lastReply.value_or(m_leaderSince);
+        health.timeSinceReply = now - progress.lastReply.value_or(progress.silentSince);
         health.caughtUp = progress.repairId == 0 && !progress.regressed && progress.match >= m_termStartIndex;
         members.push_back(std::move(health));
     }
--- a/control/control_reducer.h
+++ b/control/control_reducer.h
@@ -55,6 +55,8 @@
     std::vector<MemberHealth> memberHealth(TimePoint now) const;
     // True if a log entry or a snapshot contains the members, so that a replica configured with other seeds learns them.
     bool membersRecorded() const { return m_log.membersIndex() > 0 || m_log.baseIndex() > 0; }
+    // True at a leader whose members are committed.
+    bool membersCommitted() const { return m_role == Role::Leader && m_commitIndex >= m_termStartIndex && m_log.membersIndex() <= m_commitIndex; }
     // Returns the state up to this replica's commit index.
     const MachineState& state() const { return m_stateMachine.state(); }
 
@@ -72,6 +74,8 @@
         std::optional<TimePoint> acknowledgedSentAt;
         // Time of the last reply.
         std::optional<TimePoint> lastReply;
+        // Time since which a member that has not replied to this leader counts as silent.
+        TimePoint silentSince;
         // Round and previous index of the newest append.
         std::uint64_t lastRound = 0;
         LogIndex lastPreviousIndex = 0;
@@ -215,8 +219,9 @@
     Role m_role = Role::Follower;
     std::optional<InstanceName> m_leader;
     TimePoint m_startedAt;
-    // Time of the last message from a leader since the process started.
+    // Time and sender of the last message from a leader since the process started.
     std::optional<TimePoint> m_leaderContact;
+    InstanceName m_lastLeader;
     TimePoint m_electionDeadline = kNever;
     // Votes granted in the current election or pre-vote.
     struct GrantedVote {
--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -49,6 +49,20 @@
     archive(message.name);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, LeaveRequest& message)
+{
+    archive(message.name);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, LeaveReply& message)
+{
+    std::uint8_t outcome = static_cast<std::uint8_t>(message.outcome);
+    archive(outcome);
+    message.outcome = static_cast<LeaveOutcome>(outcome);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, ListVersion& version)
 {
@@ -87,6 +101,16 @@
 
 std::string encodeJoin(const JoinRequest& message) { return detail::encodeValue(message); }
 std::optional<JoinRequest> decodeJoin(std::string_view bytes) { return detail::decodeValue<JoinRequest>(bytes, kMaximumRequestBytes); }
+std::string encodeLeave(const LeaveRequest& message) { return detail::encodeValue(message); }
+std::optional<LeaveRequest> decodeLeave(std::string_view bytes) { return detail::decodeValue<LeaveRequest>(bytes, kMaximumRequestBytes); }
+std::string encodeLeaveReply(const LeaveReply& message) { return detail::encodeValue(message); }
+
+std::optional<LeaveReply> decodeLeaveReply(std::string_view bytes)
+{
+    std::optional<LeaveReply> reply = detail::decodeValue<LeaveReply>(bytes, kMaximumReplyBytes);
+    return reply && reply->outcome != LeaveOutcome::Left && reply->outcome != LeaveOutcome::Needed ? std::nullopt : reply;
+}
+
 std::string encodeWatch(const WatchRequest& message) { return detail::encodeValue(message); }
 std::optional<WatchRequest> decodeWatch(std::string_view bytes) { return detail::decodeValue<WatchRequest>(bytes, kMaximumRequestBytes); }
 std::string encodeWatchReply(const WatchReply& message) { return detail::encodeValue(message); }
--- a/control/feed.h
+++ b/control/feed.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "core/enum_names.h"
 #include "core/ids.h"
 #include "core/request_fingerprint.h"
 #include "core/units.h"
 #include "routing/server_record.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,7 +14,7 @@
 #include <vector>
 
 // Messages by which entry instances watch a control group for the configuration document, the server list and the list of entry
-// instances, and by which control instances ask to join the group.
+// instances, and by which control instances ask to join or to leave the group.
 namespace curranttrail::control {
 
 // Sent by a control instance that is not a member of the group.
@@ -20,6 +22,27 @@
     InstanceName name;
 };
 
+// Sent by a member of the group that is about to stop. Only the leader replies, once the outcome is known.
+struct LeaveRequest {
+    InstanceName name;
+};
+
+enum class LeaveOutcome : std::uint8_t {
+    // The group does not count the sender any more.
+    Left = 1,
+    // Without the sender the group would be too small, so it stays a member while it restarts.
+    Needed = 2,
+};
+
+inline constexpr std::array<EnumName<LeaveOutcome>, 2> kLeaveOutcomeNames { {
+    { LeaveOutcome::Left, "left" },
+    { LeaveOutcome::Needed, "needed" },
+} };
+
+struct LeaveReply {
+    LeaveOutcome outcome = LeaveOutcome::Needed;
+};
+
 // Version of a list. Each leader numbers its lists from the start in a new epoch, so revisions compare only within one epoch.
 struct ListVersion {
     std::uint64_t epoch = 0;
@@ -89,6 +112,10 @@
 
 std::string encodeJoin(const JoinRequest& message);
 std::optional<JoinRequest> decodeJoin(std::string_view bytes);
+std::string encodeLeave(const LeaveRequest& message);
+std::optional<LeaveRequest> decodeLeave(std::string_view bytes);
+std::string encodeLeaveReply(const LeaveReply& message);
+std::optional<LeaveReply> decodeLeaveReply(std::string_view bytes);
 std::string encodeWatch(const WatchRequest& message);
 std::optional<WatchRequest> decodeWatch(std::string_view bytes);
 std::string encodeWatchReply(const WatchReply& message);
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -19,7 +19,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <future>
+#include <map>
 
 namespace curranttrail {
 
@@ -37,6 +39,11 @@
     constexpr std::size_t kCompactionEntries = 48;
     constexpr std::size_t kRetainedEntries = 12;
     constexpr std::size_t kMinimumVoters = 3;
+    // While this instance stops it asks the members again at this interval to let it leave the group.
+    constexpr Micros kLeaveInterval { 200'000 };
+    // Time that is kept for the open requests of operators while this instance leaves the group, and for the end of its threads.
+    constexpr std::chrono::milliseconds kRequestStopTime { 500 };
+    constexpr std::chrono::milliseconds kFinalStopTime { 500 };
 }
 
 struct CoordinatorDaemon::Implementation {
@@ -93,6 +100,11 @@
         GroupLinks::Handlers handlers;
         handlers.peer = [this](const InstanceName& from, control::PeerMessage message) { runtime.receive(from, std::move(message)); };
         handlers.join = [this](const InstanceName& name) { memberChangePlanner.recordJoinRequest(name, transport::monotonicNow()); };
+        handlers.leave = [this](const InstanceName& name, std::function<void(control::LeaveOutcome)> respond) {
+            memberChangePlanner.recordLeaveRequest(name, transport::monotonicNow());
+            pendingLeaves[name] = std::move(respond);
+            checkGroup();
+        };
         handlers.watch = [this](control::WatchRequest request, transport::FrameResponder respond) { publisher.watch(std::move(request), std::move(respond)); };
         runtime.onLeader([this](const control::LeaderChanged& change) {
             publisher.leaderChanged(change);
@@ -125,14 +137,19 @@
     {
         const control::ReplicaStatus status = reducer.status(now);
         updateMetrics(status);
-        control::GroupStatus groupStatus { self, status.voters, status.learners, reducer.memberHealth(now), reducer.membersRecorded() };
+        control::GroupStatus groupStatus { self, status.voters, status.learners, reducer.memberHealth(now), reducer.membersRecorded(), reducer.membersCommitted() };
         links.loop().post([this, status, groupStatus = std::move(groupStatus)] { manageGroup(status, groupStatus); });
     }
 
     void manageGroup(const control::ReplicaStatus& status, const control::GroupStatus& groupStatus)
     {
         const TimePoint now = transport::monotonicNow();
+        if (isLeaving())
+            continueLeaving(status, now);
         if (status.role != control::Role::Leader) {
+            pendingLeaves.clear();
+            if (isLeaving())
+                return;
             const bool isMember = status.leader && (status.voters.contains(self) || status.learners.contains(self));
             if (!isMember && now - lastJoin >= kJoinInterval)
                 join(status, now);
@@ -140,6 +157,7 @@
         }
         if (!status.leaseValid)
             return;
+        answerLeaves(groupStatus);
         if (now - lastPoll >= kServerListInterval) {
             lastPoll = now;
             poller.poll();
@@ -151,13 +169,85 @@
             return;
         isMemberChangePending = true;
         sink.log(events::kMembersProposed, { { "voters", fmt::format("{}", fmt::join(change->voters, ",")) }, { "learners", fmt::format("{}", fmt::join(change->learners, ",")) } });
-        runtime.submit(*change, [this](const control::CommandResult& result) {
-            if (result.status != control::CommandStatus::Accepted)
+        runtime.submit(*change, [this, removesSelf = !change->voters.contains(self)](const control::CommandResult& result) {
+            const bool isAccepted = result.status == control::CommandStatus::Accepted;
+            if (!isAccepted)
                 sink.log(events::kMembersRefused, { { "status", std::string { nameOf(control::kCommandStatusNames, result.status) } }, { "reason", result.message } });
-            links.loop().post([this] { isMemberChangePending = false; });
+            links.loop().post([this, isAccepted, removesSelf] { endMemberChange(isAccepted, removesSelf); });
+        });
+    }
+
+    void endMemberChange(bool isAccepted, bool removesSelf)
+    {
+        isMemberChangePending = false;
+        if (!isAccepted)
+            return;
+        if (removesSelf)
+            endLeaving(control::LeaveOutcome::Left);
+        else if (!pendingLeaves.empty())
+            checkGroup();
+    }
+
+    // Tells members that want to leave whether the group counts them no longer.
+    void answerLeaves(const control::GroupStatus& groupStatus)
+    {
+        std::erase_if(pendingLeaves, [&](const auto& pending) {
+            const std::optional<control::LeaveOutcome> outcome = memberChangePlanner.outcomeOfLeave(groupStatus, pending.first);
+            if (outcome)
+                pending.second(*outcome);
+            return outcome.has_value();
         });
     }
 
+    // Asks the group to count this instance no longer, and waits for the outcome within the limit. A group that is larger than it has to
+    // be could otherwise not afford the next loss until it notices that this instance has ended.
+    void leaveGroup(std::chrono::milliseconds limit)
+    {
+        const std::shared_ptr<std::promise<void>> ended = std::make_shared<std::promise<void>>();
+        std::future<void> done = ended->get_future();
+        sink.log(events::kLeaveRequested);
+        links.loop().post([this, ended] {
+            leaveEnded = [ended] { ended->set_value(); };
+            checkGroup();
+        });
+        if (done.wait_for(limit) != std::future_status::ready)
+            sink.log(events::kLeaveEnded, { { "outcome", "unknown" } });
+        links.loop().runAndWait([this] { leaveEnded = {}; });
+    }
+
+    bool isLeaving() const { return static_cast<bool>(leaveEnded); }
+
+    void continueLeaving(const control::ReplicaStatus& status, TimePoint now)
+    {
+        if (status.role == control::Role::Leader) {
+            memberChangePlanner.recordLeaveRequest(self, now);
+            pendingLeaves[self] = [this](control::LeaveOutcome outcome) { endLeaving(outcome); };
+            return;
+        }
+        if (status.voters.empty()) {
+            endLeaving(control::LeaveOutcome::Left);
+            return;
+        }
+        // A group of the minimum size has no leader while all its members stop.
+        if (status.voters.contains(self) && status.voters.size() <= memberChangePlanner.minimumVoters() && status.learners.empty()) {
+            endLeaving(control::LeaveOutcome::Needed);
+            return;
+        }
+        if (now - lastLeave < kLeaveInterval)
+            return;
+        lastLeave = now;
+        for (const InstanceName& voter : status.voters)
+            links.requestLeave(voter, kLeaveInterval * 2, [this](control::LeaveOutcome outcome) { endLeaving(outcome); });
+    }
+
+    void endLeaving(control::LeaveOutcome outcome)
+    {
+        if (!isLeaving())
+            return;
+        sink.log(events::kLeaveEnded, { { "outcome", std::string { nameOf(control::kLeaveOutcomeNames, outcome) } } });
+        std::exchange(leaveEnded, {})();
+    }
+
     void publish(routing::ServerList servers, TimePoint fetchStartedAt)
     {
         links.loop().post([this, servers = std::move(servers), fetchStartedAt]() mutable {
@@ -186,15 +276,26 @@
         metrics.gauge("curranttrail_control_voters", "Voters of the group.").set(static_cast<double>(status.voters.size()));
     }
 
-    void stop(std::chrono::milliseconds limit)
+    void finishRequests(std::chrono::milliseconds limit)
     {
-        if (!server)
-            return;
         const std::shared_ptr<std::promise<void>> idle = std::make_shared<std::promise<void>>();
         std::future<void> done = idle->get_future();
+        limit = std::max(limit, std::chrono::milliseconds { 1 });
         server->stop(limit, [idle] { idle->set_value(); });
-        if (limit.count() > 0 && done.wait_for(limit + std::chrono::seconds { 1 }) != std::future_status::ready)
+        if (done.wait_for(limit + kFinalStopTime / 2) != std::future_status::ready)
             sink.log(events::kDrainTimedOut);
+    }
+
+    void stop(std::chrono::milliseconds limit)
+    {
+        if (!server)
+            return;
+        if (limit.count() > 0) {
+            const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + limit - kFinalStopTime;
+            server->retireConnections();
+            leaveGroup(std::max(std::chrono::milliseconds { 0 }, limit - kRequestStopTime - kFinalStopTime));
+            finishRequests(std::chrono::duration_cast<std::chrono::milliseconds>(deadline - std::chrono::steady_clock::now()));
+        }
         server.reset();
         metricsServer.reset();
         threads.stop();
@@ -218,6 +319,11 @@
     std::vector<transport::Endpoint> seeds;
     TimePoint lastPoll;
     TimePoint lastJoin;
+    TimePoint lastLeave;
+    // Members that wait to hear whether they have left the group.
+    std::map<InstanceName, std::function<void(control::LeaveOutcome)>> pendingLeaves;
+    // Set while this instance leaves the group.
+    std::function<void()> leaveEnded;
     bool isMemberChangePending = false;
     transport::HttpRouter router;
     transport::HttpRouter healthRouter;
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -21,6 +21,8 @@
     void start();
     // Replaces the seeds of the control group.
     void setSeeds(std::vector<transport::Endpoint> seeds);
+    // Leaves the group if that does not need this instance, answers the open requests and ends all threads within the limit. With a limit
+    // of zero it ends at once.
     void stop(std::chrono::milliseconds limit);
 
 private:
--- a/main/coordinator_settings.h
+++ b/main/coordinator_settings.h
@@ -23,7 +23,8 @@
     transport::Endpoint serverList;
     // Calls per second that all control instances together may make to that address.
     double listCallsPerSecond = 10;
-    Micros stopTimeout { 2'000'000 };
+    // Time from the stop signal to the end, of which the most is for leaving the group.
+    Micros stopTimeout { 5'000'000 };
 };
 
 CoordinatorSettings readCoordinatorSettings(const SettingsFile& file);
--- a/main/feed_events.h
+++ b/main/feed_events.h
@@ -14,6 +14,8 @@
     inline constexpr EventDescription kMembersProposed { 1202, "members_proposed", Severity::Information, "The leader proposes a change of the group's members." };
     inline constexpr EventDescription kMembersRefused { 1203, "members_refused", Severity::Warning, "A proposed change of the group's members was refused and is retried." };
     inline constexpr EventDescription kJoinRequested { 1204, "join_requested", Severity::Information, "This instance knows no leader or is no member of the group and requests to join it." };
+    inline constexpr EventDescription kLeaveRequested { 1205, "leave_requested", Severity::Information, "This instance stops and asks the group to count it no longer." };
+    inline constexpr EventDescription kLeaveEnded { 1206, "leave_ended", Severity::Information, "What became of this instance's request to leave the group: it has left, it is needed and stays a member, or no leader answered in time." };
     inline constexpr EventDescription kServerListLost { 1210, "server_list_lost", Severity::Warning, "The platform's list of backend servers could not be fetched or read; the last complete one stays in use." };
     inline constexpr EventDescription kServerListRegained { 1211, "server_list_regained", Severity::Information, "The platform's list of backend servers can be fetched again." };
     inline constexpr EventDescription kServerListUnreadable { 1212, "server_list_unreadable", Severity::Warning, "Entries of the platform's list are not valid servers and are skipped; the others are used." };
@@ -35,6 +37,8 @@
     &events::kMembersProposed,
     &events::kMembersRefused,
     &events::kJoinRequested,
+    &events::kLeaveRequested,
+    &events::kLeaveEnded,
     &events::kServerListLost,
     &events::kServerListRegained,
     &events::kServerListUnreadable,
--- a/main/group_links.cpp
+++ b/main/group_links.cpp
@@ -108,6 +108,19 @@
         client->send(number(MessageType::JoinGroup), control::encodeJoin({ m_self }));
 }
 
+void GroupLinks::requestLeave(const InstanceName& to, Micros timeout, std::function<void(control::LeaveOutcome)> callback)
+{
+    const std::lock_guard lock(m_mutex);
+    transport::FrameClient* client = to == m_self ? nullptr : clientFor(to);
+    if (!client)
+        return;
+    client->request(number(MessageType::LeaveGroup), control::encodeLeave({ m_self }), timeout, [callback = std::move(callback)](const transport::RequestResult& result) {
+        const std::optional<control::LeaveReply> reply = result.status == transport::RequestStatus::Answered ? control::decodeLeaveReply(result.body) : std::nullopt;
+        if (reply)
+            callback(reply->outcome);
+    });
+}
+
 void GroupLinks::receive(const IncomingFrame& frame, const FrameResponder& respond)
 {
     if (frame.type == number(MessageType::Watch) && respond) {
@@ -126,6 +139,14 @@
             m_handlers.join(join->name);
         return;
     }
+    if (frame.type == number(MessageType::LeaveGroup) && respond) {
+        const std::optional<control::LeaveRequest> leave = control::decodeLeave(frame.body);
+        if (!leave || leave->name != frame.from)
+            refuse(frame, "the leave request is malformed");
+        else if (m_handlers.leave)
+            m_handlers.leave(leave->name, [respond](control::LeaveOutcome outcome) { respond(control::encodeLeaveReply({ outcome })); });
+        return;
+    }
     const std::optional<transport::ReplicaMessage> replica = transport::decode<transport::ReplicaMessage>(frame.body);
     std::optional<control::PeerMessage> message = replica ? control::decodePeerMessage(replica->message) : std::nullopt;
     if (frame.type != number(MessageType::Replica) || !message || replica->from != frame.from)
--- a/main/group_links.h
+++ b/main/group_links.h
@@ -24,6 +24,7 @@
     struct Handlers {
         std::function<void(const InstanceName& from, control::PeerMessage message)> peer;
         std::function<void(const InstanceName& name)> join;
+        std::function<void(const InstanceName& name, std::function<void(control::LeaveOutcome)> respond)> leave;
         std::function<void(control::WatchRequest request, transport::FrameResponder respond)> watch;
     };
 
@@ -39,6 +40,8 @@
 
     void sendToPeer(const InstanceName& to, const control::PeerMessage& message);
     void sendJoin(const InstanceName& to);
+    // Asks a member to let this instance leave the group. The callback runs on the loop's thread, only if the member replies in time.
+    void requestLeave(const InstanceName& to, Micros timeout, std::function<void(control::LeaveOutcome)> callback);
     transport::EventLoop& loop() { return m_loop; }
 
 private:
--- a/tests/control/control_simulation.h
+++ b/tests/control/control_simulation.h
@@ -72,6 +72,7 @@
     std::uint64_t messages() const { return m_messages; }
     std::vector<control::MemberHealth> memberHealth(std::size_t replica) const;
     bool membersRecorded(std::size_t replica) const { return m_nodes[replica].reducer->membersRecorded(); }
+    bool membersCommitted(std::size_t replica) const { return m_nodes[replica].reducer->membersCommitted(); }
     bool isCut(std::size_t from, std::size_t to) const;
     // Number of starts that found damaged files and quarantined them.
     std::uint64_t damagedStarts() const { return m_damagedStarts; }
--- a/tests/control/member_change_driver.h
+++ b/tests/control/member_change_driver.h
@@ -13,11 +13,15 @@
     MemberChangeDriver(ControlSimulation& simulation, std::size_t minimumVoters);
 
     void start() { runPlanner(); }
+    // Stops a replica by plan: it asks to leave the group, and ends once it knows the outcome or after a time limit.
+    void stop(std::size_t replica);
     // True if all running replicas are voters.
     bool isComplete() const;
 
 private:
     void runPlanner();
+    void continueStop(std::size_t replica, TimePoint giveUpAt);
+    control::GroupStatus groupStatusAt(std::size_t leader) const;
     void proposeNextChange(std::size_t leader);
 
     ControlSimulation& m_simulation;
--- a/tests/control/member_change_planner_test.cpp
+++ b/tests/control/member_change_planner_test.cpp
@@ -63,6 +63,36 @@
     BOOST_TEST(!planner.nextChange(makeGroupStatus({ "a", "b", "c", "d" }, { makeMemberHealth("b", 10), makeMemberHealth("c", 10), makeMemberHealth("d", 2'000) }), kNow));
 }
 
+// Guards against a group that still counts a voter that has ended by plan, and against one that gives up a voter that it needs.
+BOOST_AUTO_TEST_CASE(AMemberLeavesBeforeItEndsUnlessItIsNeeded)
+{
+    MemberChangePlanner planner(3);
+    GroupStatus four = makeGroupStatus({ "a", "b", "c", "d" }, { makeMemberHealth("b", 10), makeMemberHealth("c", 10), makeMemberHealth("d", 10) });
+    four.membersCommitted = true;
+    planner.recordLeaveRequest("a", kNow);
+    BOOST_TEST(!planner.outcomeOfLeave(four, "a"));
+    const std::optional<ChangeMembers> change = planner.nextChange(four, kNow);
+    BOOST_REQUIRE(change);
+    BOOST_TEST((change->voters == std::set<InstanceName> { "b", "c", "d" }));
+
+    GroupStatus three = makeGroupStatus({ "b", "c", "d" }, { makeMemberHealth("c", 10), makeMemberHealth("d", 10) });
+    BOOST_TEST(!planner.outcomeOfLeave(three, "a"));
+    three.membersCommitted = true;
+    BOOST_TEST((planner.outcomeOfLeave(three, "a") == LeaveOutcome::Left));
+    planner.recordLeaveRequest("b", kNow);
+    BOOST_TEST(!planner.nextChange(three, kNow));
+    BOOST_TEST((planner.outcomeOfLeave(three, "b") == LeaveOutcome::Needed));
+    // A learner that is catching up will make up for it.
+    three.learners.insert("e");
+    three.members.push_back(makeMemberHealth("e", 10, false));
+    BOOST_TEST(!planner.outcomeOfLeave(three, "b"));
+    // A process that starts again takes back the request of the one before.
+    planner.recordJoinRequest("b", kNow);
+    three.voters.insert("e");
+    three.learners.clear();
+    BOOST_TEST(!planner.nextChange(three, kNow));
+}
+
 // Guards against adding an instance that asked to join and stopped since.
 BOOST_AUTO_TEST_CASE(AStaleJoinRequestExpires)
 {
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -161,6 +161,36 @@
     }));
 }
 
+// A control instance is replaced by plan. Guards against a group that still counts it when another one loses its disk.
+BOOST_AUTO_TEST_CASE(AReplacedInstanceLeavesTheGroupBeforeItEnds)
+{
+    StartedGatewayFixture system;
+    const auto logged = [&system](const std::string& text) { return GatewayFixture::eventually([&] { return system.sink.recentAsJson(0, 4'096).find(text) != std::string::npos; }); };
+    CoordinatorSettings settings = system.coordinatorSettings[0];
+    settings.name = settings.group.address = settings.http.address = "127.0.0.14";
+    settings.dataFolder = (system.folder.path() / settings.name).string();
+    settings.bootstrap = false;
+    system.coordinatorSettings.push_back(settings);
+    system.coordinators.push_back(std::make_unique<CoordinatorDaemon>(settings, system.sink));
+    system.coordinators.back()->start();
+    const std::uint16_t port = settings.group.port;
+    BOOST_TEST_REQUIRE(logged(fmt::format("\"voters\":\"127.0.0.11:{0},127.0.0.12:{0},127.0.0.13:{0},127.0.0.14:{0}\"", port)));
+    BOOST_TEST_REQUIRE(system.put(GatewayFixture::document(8)) == "200");
+
+    system.coordinators[0]->stop(std::chrono::milliseconds { 2'000 });
+    BOOST_TEST(logged("\"outcome\":\"left\""));
+    const std::string remaining = fmt::format("\"voters\":\"127.0.0.12:{0},127.0.0.13:{0},127.0.0.14:{0}\"", port);
+    BOOST_TEST(logged(remaining));
+    system.coordinators[1]->stop(std::chrono::milliseconds { 2'000 });
+    BOOST_TEST(logged("\"outcome\":\"needed\""));
+    std::filesystem::remove_all(system.coordinatorSettings[1].dataFolder);
+    system.coordinatorSettings[1].bootstrap = false;
+    system.coordinators[1] = std::make_unique<CoordinatorDaemon>(system.coordinatorSettings[1], system.sink);
+    system.coordinators[1]->start();
+    BOOST_TEST(system.put(GatewayFixture::document(9)) == "200");
+    BOOST_TEST(logged("repair_completed"));
+}
+
 // Guards against a non-repeatable request that runs twice, or that is refused as not run after it ran.
 BOOST_AUTO_TEST_CASE(ARequestThatMayRunOnceRunsAtMostOnce)
 {
--- a/transport/control_protocol.h
+++ b/transport/control_protocol.h
@@ -32,6 +32,8 @@
     JoinGroup = 7,
     // control::WatchRequest -> control::WatchReply.
     Watch = 8,
+    // control::LeaveRequest -> control::LeaveReply. Instances that do not know the type do not reply.
+    LeaveGroup = 9,
 };
 
 struct ReplicaMessage {
