--- a/main/document_api.cpp
+++ b/main/document_api.cpp
@@ -13,11 +13,11 @@
     // A leader is usually elected within this time.
     constexpr std::string_view kRetryAfterSeconds = "0.5";
 
-    transport::HttpResponse refusal(unsigned status, std::string_view error, std::string_view message)
+    transport::HttpResponse refusal(unsigned status, std::string_view error, std::string_view message, Verdict verdict = Verdict::NotRun)
     {
         transport::HttpResponse response;
         response.status = status;
-        response.body = transport::refusalBody(error, "not_run", message);
+        response.body = transport::refusalBody(error, nameOf(kVerdictNames, verdict), message);
         return response;
     }
 
@@ -78,7 +78,7 @@
         else if (result.status == control::CommandStatus::Invalid)
             response = refusal(413, "invalid", result.message);
         else
-            response = refusal(503, "unavailable", result.message);
+            response = refusal(503, "unavailable", result.message, result.status == control::CommandStatus::OutcomeUnknown ? Verdict::MayHaveRun : Verdict::NotRun);
         m_sink.log(events::kDocumentAnswered, { { "version", fmt::to_string(version) }, { "held", fmt::to_string(result.version.value) }, { "from", client }, { "status", fmt::to_string(response.status) }, { "result", std::string { nameOf(control::kCommandStatusNames, result.status) } } });
         responder.send(std::move(response));
     });
--- a/main/entry_daemon.cpp
+++ b/main/entry_daemon.cpp
@@ -21,6 +21,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <future>
 #include <thread>
 
@@ -33,6 +34,8 @@
     constexpr Micros kMetricsInterval { 1'000'000 };
     // The instance is not ready if the reducer thread has not run its periodic task for this long.
     constexpr Micros kReducerStallTimeout { 3'000'000 };
+    // Time before the end of a stop at which open queries are answered, so that their answers can be sent.
+    constexpr Micros kFinalAnswerLeadTime { 100'000 };
     // A configuration that is missing for this long after the start is logged.
     constexpr Micros kMissingConfigurationTimeout { 5'000'000 };
 
@@ -45,6 +48,7 @@
         options.seed = generateSeed();
         options.distances = settings.distances;
         options.maximumQueries = settings.maximumQueries;
+        options.drainTimeout = std::max(Micros { 0 }, settings.stopTimeout - kFinalAnswerLeadTime);
         options.fingerprintKey = transport::hmac(transport::readClusterKey(settings.clusterKeyFile), "query fingerprints");
         return options;
     }
--- a/main/query_api.cpp
+++ b/main/query_api.cpp
@@ -88,7 +88,7 @@
     }
     for (const auto& [query, entry] : pending) {
         HttpResponse response;
-        response.status = 503;
+        response.status = 504;
         response.body = transport::refusalBody("stopping", nameOf(kVerdictNames, Verdict::MayHaveRun), "the instance stopped before the answer was complete");
         entry.responder.send(std::move(response));
     }
--- a/query/entry_reducer.cpp
+++ b/query/entry_reducer.cpp
@@ -298,6 +298,7 @@
     if (m_isDraining)
         return;
     m_isDraining = true;
+    m_queries.limitDeadlines(m_context.now + m_context.options.drainTimeout);
     m_context.log(events::kDrainStarted);
 }
 
--- a/query/query_table.cpp
+++ b/query/query_table.cpp
@@ -43,6 +43,16 @@
         m_timers.emplace(at, query.request.query);
 }
 
+void QueryTable::limitDeadlines(TimePoint latest)
+{
+    for (const auto& [id, query] : m_queries) {
+        query->deadline = std::min(query->deadline, latest);
+        query->targetAt = std::min(query->targetAt, latest);
+        if (query->timerAt != kNever && query->timerAt > latest)
+            setTimer(*query, latest);
+    }
+}
+
 QueryState* QueryTable::due(TimePoint now)
 {
     if (m_timers.empty() || m_timers.begin()->first > now)
--- a/query/query_table.h
+++ b/query/query_table.h
@@ -23,6 +23,8 @@
     std::uint32_t sizeOf(const OwnerName& owner) const;
 
     void setTimer(QueryState& query, TimePoint at);
+    // Ends the time of all queries at the latest at the given time.
+    void limitDeadlines(TimePoint latest);
     // Returns the query with the earliest due timer, or null if none is due.
     QueryState* due(TimePoint now);
     TimePoint nextTimer() const { return m_timers.empty() ? kNever : m_timers.begin()->first; }
--- a/query/reducer_context.h
+++ b/query/reducer_context.h
@@ -27,6 +27,8 @@
     std::string fingerprintKey = std::string(RequestHasher::kKeyBytes, '\0');
     // Upper bound of the callers' timeouts; longer ones are reduced to it.
     Micros maximumTimeout { 300'000'000 };
+    // Time from DrainRequested to the end of the process. Queries that are open then are answered before it.
+    Micros drainTimeout { 300'000'000 };
 };
 
 // State shared by the components of the reducer. Effects are collected while one event is handled.
--- a/tests/query/entry_harness.h
+++ b/tests/query/entry_harness.h
@@ -17,11 +17,18 @@
 // Drives a reducer in virtual time. Connections open at once, or fail if failOpening is set; the test supplies the replies.
 class EntryHarness {
 public:
-    explicit EntryHarness(std::uint64_t seed = 1)
-        : reducer(EntryOptions { "entry-1", "nile", "dc-1", seed, { { "dc-2", Micros { 500 } } } })
+    explicit EntryHarness(std::uint64_t seed = 1, Micros drainTimeout = std::chrono::minutes { 5 })
+        : reducer(makeOptions(seed, drainTimeout))
     {
     }
 
+    static EntryOptions makeOptions(std::uint64_t seed, Micros drainTimeout)
+    {
+        EntryOptions options { "entry-1", "nile", "dc-1", seed, { { "dc-2", Micros { 500 } } } };
+        options.drainTimeout = drainTimeout;
+        return options;
+    }
+
     void handle(const Event& event)
     {
         for (Effect& effect : reducer.handle(event, now)) {
--- a/tests/query/servers_test.cpp
+++ b/tests/query/servers_test.cpp
@@ -228,6 +228,20 @@
     BOOST_TEST(entry.takeEffects<DrainComplete>().size() == 1U);
 }
 
+// Guards against callers whose connections are closed without an answer when the process ends before their queries' timeouts.
+BOOST_AUTO_TEST_CASE(DrainAnswersQueriesBeforeTheProcessEnds)
+{
+    EntryHarness entry(1, milliseconds { 300 });
+    entry.start(1, 1);
+    entry.submitQuery("full");
+    entry.handle(DrainRequested {});
+    entry.takeEffects<SendRefusal>();
+    entry.advance(milliseconds { 300 });
+    const SendRefusal refusal = entry.takeSingleEffect<SendRefusal>();
+    BOOST_TEST((refusal.verdict == Verdict::MayHaveRun));
+    BOOST_TEST(entry.takeEffects<DrainComplete>().size() == 1U);
+}
+
 // Guards against usage that is recorded twice or not at all, including that of overtaken attempts.
 BOOST_AUTO_TEST_CASE(UsageIsRecordedOncePerSubquery)
 {
