Send nothing new to a server whose replies say that it leaves

cause: a server that leaves says so in its replies (Server-Leaving: 1); only the server list, which lags or may be lost, was listened to. ruled out: an end of that state after some time, and use as the last server of a collection: docs/decisions/what-servers-say-of-themselves.md. change: one reply of the server withdraws it for this instance on every path (first and additional attempts, hedges, queued requests, kept connections, relays for others) as long as the list names this incarnation.

--- a/routing/events.h
+++ b/routing/events.h
@@ -22,6 +22,7 @@
     inline constexpr EventDescription kServersListed { 8024, "servers_listed", Severity::Information, "A server list, such as the first one after a start, adds many servers; they are counted instead of named." };
     inline constexpr EventDescription kServerUnverified { 8025, "server_unverified", Severity::Warning, "A server was silent or a connection to it failed; without an open connection it gets no requests until one opens." };
     inline constexpr EventDescription kServerVerified { 8026, "server_verified", Severity::Information, "A server that was silent or refused a connection can be reached again." };
+    inline constexpr EventDescription kServerSaysLeaving { 8027, "server_says_leaving", Severity::Information, "A reply of a server states that it leaves; it gets no new work as long as the server list names this incarnation." };
     inline constexpr EventDescription kServerLimitNamed { 8040, "server_limit_named", Severity::Information, "A server named the number of requests a second that it takes from all instances together." };
     inline constexpr EventDescription kServerLimitChanged { 8041, "server_limit_changed", Severity::Information, "A server named another limit than before; at most one line a second for each server." };
     inline constexpr EventDescription kServerLimitEnded { 8042, "server_limit_ended", Severity::Information, "A server's replies no longer name a limit." };
@@ -53,6 +54,7 @@
     &events::kServersListed,
     &events::kServerUnverified,
     &events::kServerVerified,
+    &events::kServerSaysLeaving,
     &events::kServerLimitNamed,
     &events::kServerLimitChanged,
     &events::kServerLimitEnded,
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -67,6 +67,8 @@
     std::string stamp;
     std::optional<ServerLoad> load;
     std::optional<NamedLimit> limit;
+    // True if the server states that it leaves.
+    bool isLeaving = false;
     // End-to-end header fields, forwarded unchanged.
     std::vector<std::pair<std::string, std::string>> fields;
     std::string body;
--- a/routing/reply_classification.h
+++ b/routing/reply_classification.h
@@ -16,6 +16,8 @@
     std::optional<std::string> stamp;
     // The server states that it did not run the request.
     bool notExecuted = false;
+    // The server states that it leaves.
+    bool leaving = false;
     // True if a content encoding was applied, so that the body differs from what the server signed.
     bool encoded = false;
     std::optional<ServerLoad> load;
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -245,15 +245,20 @@
     logNewServers(changes, age);
     for (Server* server : changes.leaving) {
         log(events::kServerLeaving, { { "server", server->record.instance }, { "collection", server->record.collection }, { "listed", server->isRetired ? "false" : "true" }, { "age_us", fmt::to_string(age.count()) }, { "list", fmt::to_string(m_serverListRevision) } });
-        failWaiting(*server);
-        for (const ConnectionId connection : std::vector<ConnectionId>(server->idle))
-            closeConnection(connection);
+        withdraw(*server);
     }
     logNewServers(m_servers.evictRetired(m_now), age);
     updateQuotasAndBudgets();
     warmConnections();
 }
 
+void Router::withdraw(Server& server)
+{
+    failWaiting(server);
+    for (const ConnectionId connection : std::vector<ConnectionId>(server.idle))
+        closeConnection(connection);
+}
+
 void Router::logNewServers(const ServerTable::Changes& changes, Micros age)
 {
     if (changes.added.size() > kMaximumServersLogged) {
--- a/routing/router.h
+++ b/routing/router.h
@@ -235,6 +235,8 @@
     void on(const ControlContacted&) { m_controlContactAt = m_now; }
     void on(const CrashRecordsReceived& event);
     void applyServerChanges(const ServerTable::Changes& changes, Micros age);
+    // Stops the use of a server for new work: what waits for it goes to other servers.
+    void withdraw(Server& server);
     void logNewServers(const ServerTable::Changes& changes, Micros age);
     void on(const EntryInstancesChanged& event);
     void on(const RelaysChanged& event);
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -171,6 +171,10 @@
     const InstanceName relay = m_connections.at(connection).relay;
     const bool isRelayOutOfUse = !relay.empty() && (!isRelaying() || hasRelayLeft(m_connections.at(connection)));
     m_attempts.erase(it);
+    const ReplyKind kind = event.reply.kind;
+    // Other replies may be of another server or to another request.
+    const bool isOfServer = kind == ReplyKind::Success || kind == ReplyKind::Failure || kind == ReplyKind::NotExecuted;
+    const bool beginsToLeave = isOfServer && event.reply.isLeaving && !std::exchange(server.saysLeaving, true);
     if (event.reply.connectionClosed)
         dropConnection(connection);
     else if (!server.acceptsWork() || isRelayOutOfUse)
@@ -190,9 +194,7 @@
         server.loadReportedAt = m_now;
         server.ownAttemptsInLoad = static_cast<std::uint32_t>(server.unanswered.size());
     }
-    const ReplyKind kind = event.reply.kind;
-    // Other replies may be of another server or to another request.
-    if (kind == ReplyKind::Success || kind == ReplyKind::Failure || kind == ReplyKind::NotExecuted)
+    if (isOfServer)
         updateLimit(server, attempt, event.reply.limit);
     if (kind == ReplyKind::WrongInstance && !server.isRetired) {
         server.retire(m_now);
@@ -211,8 +213,13 @@
         recordAnswer(attempt.fingerprint, server.record.collection);
     if (kind == ReplyKind::Success)
         recordDuration(*attempt.profile, server, std::chrono::duration_cast<Micros>(m_now - attempt.sentAt));
-    const auto found = m_requests.find(attempt.request);
+    if (beginsToLeave) {
+        log(events::kServerSaysLeaving, { { "server", server.record.instance }, { "collection", server.record.collection }, { "listed", server.listed ? "true" : "false" }, { "list", fmt::to_string(m_serverListRevision) } });
+        withdraw(server);
+        updateQuotasAndBudgets();
+    }
     dispatchWaiting(server);
+    const auto found = m_requests.find(attempt.request);
     if (attempt.isAbandoned || found == m_requests.end())
         return;
     Request& request = found->second;
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -30,6 +30,9 @@
     ServerRecord latestRecord;
     policy::ServerHealth health;
     ServerQuality quality;
+    // Set once a reply of the server has stated that it leaves. A list that still names it as good is older, or made without asking it, so
+    // that this holds as long as the list names this incarnation.
+    bool saysLeaving = false;
     // Set once the server left the list or another incarnation answered at its address.
     bool isRetired = false;
     // Time at which another incarnation answered or the listed address changed.
@@ -78,7 +81,7 @@
     std::optional<std::size_t> idleConnectionLimit;
 
     void retire(TimePoint now);
-    bool acceptsWork() const { return !isRetired && !record.leaving; }
+    bool acceptsWork() const { return !isRetired && !record.leaving && !saysLeaving; }
     // Returns whether the server has sent nothing since an attempt that was sent some time ago.
     bool isSilent(TimePoint now) const;
     void recordDuration(std::size_t profile, Micros duration, TimePoint now);
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -243,6 +243,18 @@
     BOOST_TEST(GatewayFixture::eventually([&] { return system.ask("/order/x", "r").find("i-5-2") != std::string::npos; }));
 }
 
+// Guards against requests that reach a server after its answers have said that it leaves, although the list names it as good.
+BOOST_AUTO_TEST_CASE(AServerThatSaysItLeavesIsAvoided)
+{
+    StartedGatewayFixture system;
+    stand_ins::ServerBehaviour leaving;
+    leaving.saysLeaving = true;
+    system.servers.set(4, leaving);
+    BOOST_TEST(GatewayFixture::eventually([&] { return system.ask("/order/x", "find").find("Server-Leaving") != std::string::npos; }));
+    for (int n = 0; n < 30; ++n)
+        BOOST_TEST(system.ask("/order/x", fmt::format("r{}", n)).find("Server-Leaving") == std::string::npos);
+}
+
 // Guards against requests lost at a graceful stop: the instance first reports that it is not ready, and then answers requests on
 // open connections with "Connection: close".
 BOOST_AUTO_TEST_CASE(AGracefulStopAnswersOpenConnections)
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -116,6 +116,12 @@
         BOOST_TEST_REQUIRE(header.limit.has_value());
         BOOST_TEST((header.limit->requestsPerSecond == value), text);
     }
+    BOOST_TEST(!header.leaving);
+    reply.fields.emplace_back("Server-Leaving", "");
+    for (const auto& [text, isLeaving] : std::map<std::string, bool> { { "1", true }, { " 1 ", true }, { "0", false }, { "", false }, { "yes", false } }) {
+        reply.fields.back().second = text;
+        BOOST_TEST(decodeReplyHeader(reply).leaving == isLeaving, text);
+    }
     const transport::HttpFields merged = mergedReplyFields({ "a", "b" }, 1);
     BOOST_TEST(*transport::findField(merged, kPartStampsField) == "a, b");
     BOOST_TEST(*transport::findField(merged, kMissingPartsField) == "1");
--- /dev/null
+++ b/tests/routing/server_signals_test.cpp
@@ -0,0 +1,82 @@
+#include "tests/routing/router_harness.h"
+
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <vector>
+
+using namespace curranttrail;
+using namespace curranttrail::routing;
+
+namespace {
+
+ServerReply leavingReply(ReplyKind kind)
+{
+    ServerReply reply = kind == ReplyKind::Success ? RouterHarness::success("stamp") : RouterHarness::failure(kind, 503);
+    reply.isLeaving = true;
+    return reply;
+}
+
+// Serves requests of all routes at random for a while, with replies that may be late, lists that repeat what is known, and hedges. Returns
+// the instances of the servers that got requests.
+std::set<std::string> serveRandomRequests(RouterHarness& harness, Random& random)
+{
+    const auto below = [&random](int bound) { return boost::random::uniform_int_distribution<int>(0, bound - 1)(random); };
+    std::set<std::string> used;
+    std::vector<SendAttempt> open;
+    for (int step = 0; step < 200; ++step) {
+        const char* const paths[] = { "/search/x", "/order/x", "/book/x" };
+        harness.sendRequest(paths[below(3)]);
+        if (below(20) == 0)
+            harness.publish();
+        harness.advance(milliseconds { below(80) });
+        for (const SendAttempt& sent : harness.takeSent()) {
+            used.insert(sent.instance);
+            open.push_back(sent);
+        }
+        while (!open.empty() && below(3) != 0) {
+            const SendAttempt attempt = open.back();
+            open.pop_back();
+            harness.reply(attempt, RouterHarness::success(attempt.instance));
+        }
+    }
+    return used;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ServerSignals)
+
+// A server states in a reply that it leaves, and the list names it as good. Guards against requests that still reach it, on any path.
+BOOST_DATA_TEST_CASE(AServerThatSaysItLeavesGetsNoWork, boost::unit_test::data::xrange(1, 41), seed)
+{
+    Random random(static_cast<std::uint64_t>(seed));
+    RouterHarness harness;
+    harness.setUpCollections(2);
+    // More requests than the connections of a server wait for it when it says so.
+    for (int n = 0; n < 60; ++n)
+        harness.sendRequest(n % 2 == 0 ? "/order/x" : "/search/x");
+    std::vector<SendAttempt> sent = harness.takeSent();
+    const auto first = std::find_if(sent.begin(), sent.end(), [](const SendAttempt& attempt) { return attempt.instance == "o1" || attempt.instance == "s0a"; });
+    BOOST_REQUIRE((first != sent.end()));
+    const std::string leaving = first->instance;
+    harness.reply(*first, leavingReply(seed % 3 == 0 ? ReplyKind::NotExecuted : (seed % 3 == 1 ? ReplyKind::Success : ReplyKind::Failure)));
+    for (const SendAttempt& attempt : harness.takeSent())
+        BOOST_TEST(attempt.instance != leaving);
+    for (const SendAttempt& attempt : sent) {
+        if (attempt.attempt != first->attempt)
+            harness.reply(attempt, RouterHarness::success(attempt.instance));
+    }
+    BOOST_TEST(!serveRandomRequests(harness, random).contains(leaving));
+    // A list that no longer names it, and then another incarnation at its address.
+    std::erase_if(harness.serverList, [&](const ServerRecord& record) { return record.instance == leaving; });
+    harness.publish();
+    harness.addServer(leaving + "-2", leaving == "o1" ? "orders" : "shard0");
+    harness.publish();
+    harness.advance(milliseconds { 1'000 });
+    BOOST_TEST(serveRandomRequests(harness, random).contains(leaving + "-2"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/stand_ins/stamped_servers.cpp
+++ b/tests/stand_ins/stamped_servers.cpp
@@ -169,6 +169,8 @@
     reply.status = 200;
     reply.fields = { { std::string { platform::kRequestIdField }, hasWrongRequestId ? "another" : id },
         { std::string { platform::kServerStampField }, fmt::format("{}|{}|{}", server.collection, server.instance(), id) } };
+    if (behaviour.saysLeaving)
+        reply.fields.emplace_back(platform::kLeavingField, "1");
     reply.body = recordsOf(server.collection, id);
     const std::shared_ptr<asio::steady_timer> timer = std::make_shared<asio::steady_timer>(m_context, behaviour.serviceTime);
     timer->async_wait([timer, exchange, reply, &server, ends = server.ends](const boost::system::error_code& ec) {
--- a/tests/stand_ins/stamped_servers.h
+++ b/tests/stand_ins/stamped_servers.h
@@ -24,6 +24,8 @@
     unsigned abortedPercent = 0;
     unsigned wrongRequestIdPercent = 0;
     bool leaving = false;
+    // Replies state that the server leaves, though the list names it as good.
+    bool saysLeaving = false;
     // The server is not listed and does not answer.
     bool down = false;
 };
