Keep requests from a server for as long as it asked beside a 503

cause: a server that turns a request away may name a time for which it wants nothing from the instance (503 with Retry-After). It was chosen again as soon as its cost was lowest. ruled out: treating it as a failure: the server is healthy, and its suspension would end by our rules, not by its own. change: the time counts like a limit without a token, so that the same place decides for each path; what waits for the server goes elsewhere, and without another server the caller is refused at once with the time until the first may be asked. The end is spread, and until an answer the server gets one request at a time. Unreadable values are logged (8045).

--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -213,6 +213,7 @@
         event.reply.stamp = std::move(header.stamp).value_or("");
         event.reply.load = header.load;
         event.reply.limit = header.limit;
+        event.reply.rest = header.rest;
         event.reply.isLeaving = header.leaving;
         event.reply.fields = std::move(reply.fields);
         event.reply.body = std::move(reply.body);
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -60,6 +60,12 @@
     std::optional<double> requestsPerSecond;
 };
 
+// Time for which a server that rejected a request wants nothing from this instance.
+struct NamedRest {
+    // Not negative. Empty if the server named something else than a number of seconds.
+    std::optional<Micros> duration;
+};
+
 struct ServerReply {
     ReplyKind kind = ReplyKind::Unusable;
     unsigned status = 0;
@@ -67,6 +73,7 @@
     std::string stamp;
     std::optional<ServerLoad> load;
     std::optional<NamedLimit> limit;
+    std::optional<NamedRest> rest;
     // True if the server states that it leaves.
     bool isLeaving = false;
     // End-to-end header fields, forwarded unchanged.
--- a/routing/reply_classification.h
+++ b/routing/reply_classification.h
@@ -22,6 +22,7 @@
     bool encoded = false;
     std::optional<ServerLoad> load;
     std::optional<NamedLimit> limit;
+    std::optional<NamedRest> rest;
 };
 
 // Classifies a complete reply to the given request.
--- a/routing/router.h
+++ b/routing/router.h
@@ -336,6 +336,8 @@
 
     // router_limits.cpp: limits that servers name
     void updateLimit(Server& server, const Attempt& attempt, const std::optional<NamedLimit>& named);
+    void updateRest(Server& server, const std::optional<NamedRest>& named);
+    void logRest(const EventDescription& description, Server& server, Micros duration);
     void logLimit(const EventDescription& description, Server& server, bool isRepeated);
     void recordHeldBack(const Request& request);
     void releaseToken(const Attempt& attempt);
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -196,6 +196,9 @@
     }
     if (isOfServer)
         updateLimit(server, attempt, event.reply.limit);
+    // A rejection in one of several forms may name the rest.
+    if (isOfServer || event.reply.rest)
+        updateRest(server, event.reply.rest);
     if (kind == ReplyKind::WrongInstance && !server.isRetired) {
         server.retire(m_now);
         log(events::kServerReplaced, { { "server", server.record.instance }, { "address", server.record.address } });
--- a/routing/router_limits.cpp
+++ b/routing/router_limits.cpp
@@ -13,6 +13,9 @@
 namespace {
     // Minimum time between log lines for a server whose limit changes with each reply.
     constexpr Micros kLimitLogInterval { 1'000'000 };
+    // The return of the instances to a server is spread over this part of its rest, and at most over the maximum.
+    constexpr int kRestSpreadDivisor = 4;
+    constexpr Micros kMaximumRestSpread { 1'000'000 };
     // The load balancer may send a caller that returns to an instance with a token, so a longer wait is of no use.
     constexpr Micros kMaximumLimitRetryAfter { 1'000'000 };
 } // namespace
@@ -43,6 +46,36 @@
         logLimit(events::kServerLimitChanged, server, true);
 }
 
+// Takes over for how long a server that rejected a request wants no more. The end is spread, so that the instances do not all return at the
+// same moment.
+void Router::updateRest(Server& server, const std::optional<NamedRest>& named)
+{
+    if (!named) {
+        server.isReturning = server.isReturning && m_now < server.restsUntil;
+        return;
+    }
+    if (!named->duration) {
+        logRest(events::kServerRestUnreadable, server, Micros { 0 });
+        return;
+    }
+    const Micros spread = std::min<Micros>(*named->duration / kRestSpreadDivisor, kMaximumRestSpread);
+    const TimePoint until = m_now + *named->duration + randomDelay(Micros { 0 }, spread);
+    if (named->duration->count() == 0 || until <= server.restsUntil)
+        return;
+    server.restsUntil = until;
+    server.isReturning = true;
+    logRest(events::kServerRests, server, *named->duration);
+    failWaiting(server);
+}
+
+void Router::logRest(const EventDescription& description, Server& server, Micros duration)
+{
+    if (server.restLoggedAt != TimePoint::min() && m_now - server.restLoggedAt < kLimitLogInterval)
+        return;
+    server.restLoggedAt = m_now;
+    log(description, { { "server", server.record.instance }, { "collection", server.record.collection }, { "rest_us", fmt::to_string(duration.count()) } });
+}
+
 void Router::logLimit(const EventDescription& description, Server& server, bool isRepeated)
 {
     if (isRepeated && server.limitLoggedAt != TimePoint::min() && m_now - server.limitLoggedAt < kLimitLogInterval)
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -187,8 +187,9 @@
 
 Micros Router::retryAfter(const Request& request, RefusalReason reason)
 {
-    if (reason == RefusalReason::ServerLimit)
-        return retryAfterLimit(request);
+    const auto isHeldBack = [&](const Part& part) { return m_servers.availability(part.collection, request.route->priority, m_now) == Availability::LimitReached; };
+    if (reason == RefusalReason::ServerLimit || (reason == RefusalReason::AttemptsFailed && std::any_of(request.parts.begin(), request.parts.end(), isHeldBack)))
+        return std::max(retryAfterLimit(request), randomRetryAfter());
     return reason == RefusalReason::Stopping ? retryAfterStop() : randomRetryAfter();
 }
 
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -69,6 +69,13 @@
     return acceptsWork() && connections < connectionQuota && now >= earliestConnectAt;
 }
 
+bool Server::isWithinLimit(std::uint32_t priority, TimePoint now) const
+{
+    if (now < restsUntil || (isReturning && outstandingAttempts() > 0))
+        return false;
+    return !rateLimit || rateLimit->canAcquire(priority, now);
+}
+
 bool Server::isSilent(TimePoint now) const
 {
     return std::any_of(unanswered.begin(), unanswered.end(), [&](const auto& attempt) { return now - attempt.second >= kSilenceThreshold && lastReply < attempt.second; });
@@ -311,7 +318,8 @@
     for (Server* server : serversOf(collection)) {
         if (!server->acceptsWork() || !server->isReachable() || server->isWithinLimit(priority, now))
             continue;
-        server->rateLimit->onHeldBack(priority, now);
+        if (server->rateLimit)
+            server->rateLimit->onHeldBack(priority, now);
         isHeldBack = true;
     }
     return isHeldBack;
@@ -329,8 +337,10 @@
 {
     Micros shortest = Micros::max();
     for (const Server* server : serversOf(collection)) {
-        if (server->acceptsWork() && server->isReachable())
-            shortest = std::min(shortest, server->rateLimit ? server->rateLimit->timeUntilAvailable(priority, now) : Micros { 0 });
+        if (!server->acceptsWork() || !server->isReachable())
+            continue;
+        const Micros rest = now < server->restsUntil ? std::chrono::duration_cast<Micros>(server->restsUntil - now) : Micros { 0 };
+        shortest = std::min(shortest, std::max(rest, server->rateLimit ? server->rateLimit->timeUntilAvailable(priority, now) : Micros { 0 }));
     }
     return shortest;
 }
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -60,6 +60,11 @@
     // Times at which the server last named its limit and at which that was last logged.
     TimePoint limitNamedAt = TimePoint::min();
     TimePoint limitLoggedAt = TimePoint::min();
+    TimePoint restLoggedAt = TimePoint::min();
+    // Time until which the server gets no requests because it asked for a rest.
+    TimePoint restsUntil = TimePoint::min();
+    // True from such a rest until a reply that asks for none: the server gets one request at a time.
+    bool isReturning = false;
     // True after the server was silent or a connection to it failed, until a connection opens or a reply arrives. Without an open
     // connection such a server gets no requests.
     bool isUnverified = false;
@@ -88,8 +93,8 @@
     // Returns the longest recent duration of attempts with this profile, or zero if there were none.
     Micros longestDuration(std::size_t profile, TimePoint now) const;
     bool isReachable() const { return !isUnverified || connections > opening; }
-    // Returns whether a request of this priority may be sent as far as the limit that the server names is concerned.
-    bool isWithinLimit(std::uint32_t priority, TimePoint now) const { return !rateLimit || rateLimit->canAcquire(priority, now); }
+    // Returns whether a request of this priority may be sent as far as the limit and the rest that the server names are concerned.
+    bool isWithinLimit(std::uint32_t priority, TimePoint now) const;
     bool hasIdleConnection() const { return !idle.empty(); }
     bool canOpenConnection(TimePoint now) const;
     std::uint32_t outstandingAttempts() const { return static_cast<std::uint32_t>(unanswered.size() + waiting.size()); }
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -116,6 +116,16 @@
         BOOST_TEST_REQUIRE(header.limit.has_value());
         BOOST_TEST((header.limit->requestsPerSecond == value), text);
     }
+    // A success with the field says nothing of a rest.
+    reply.fields.emplace_back("Retry-After", "3");
+    BOOST_TEST(!decodeReplyHeader(reply).rest.has_value());
+    reply.status = 503;
+    for (const auto& [text, micros] : std::map<std::string, std::optional<std::int64_t>> { { "1.5", 1'500'000 }, { "0", 0 }, { "1e300", 600'000'000 }, { "-1", std::nullopt }, { "nan", std::nullopt }, { "", std::nullopt }, { "Sat, 05 Dec 2026 08:00:00 GMT", std::nullopt } }) {
+        reply.fields.back().second = text;
+        header = decodeReplyHeader(reply);
+        BOOST_TEST_REQUIRE(header.rest.has_value());
+        BOOST_TEST(((header.rest->duration ? std::optional<std::int64_t> { header.rest->duration->count() } : std::nullopt) == micros), text);
+    }
     BOOST_TEST(!header.leaving);
     reply.fields.emplace_back("Server-Leaving", "");
     for (const auto& [text, isLeaving] : std::map<std::string, bool> { { "1", true }, { " 1 ", true }, { "0", false }, { "", false }, { "yes", false } }) {
--- a/tests/routing/server_signals_test.cpp
+++ b/tests/routing/server_signals_test.cpp
@@ -79,4 +79,77 @@
     BOOST_TEST(serveRandomRequests(harness, random).contains(leaving + "-2"));
 }
 
+// A server rejects a request and wants nothing for a while. Guards against requests that reach it in that time, on any path, and against a
+// server that is not used again after it.
+BOOST_DATA_TEST_CASE(AServerThatAsksForARestGetsNoWork, boost::unit_test::data::xrange(1, 41), seed)
+{
+    Random random(static_cast<std::uint64_t>(seed));
+    RouterHarness harness;
+    harness.setUpCollections(2);
+    for (int n = 0; n < 60; ++n)
+        harness.sendRequest(n % 2 == 0 ? "/order/x" : "/search/x");
+    std::vector<SendAttempt> sent = harness.takeSent();
+    const auto first = std::find_if(sent.begin(), sent.end(), [](const SendAttempt& attempt) { return attempt.instance == "o1" || attempt.instance == "s0a"; });
+    BOOST_REQUIRE((first != sent.end()));
+    const std::string resting = first->instance;
+    ServerReply rejection = RouterHarness::failure(seed % 2 == 0 ? ReplyKind::NotExecuted : ReplyKind::Unusable, 503);
+    rejection.rest.emplace().duration = std::chrono::seconds { 30 };
+    harness.reply(*first, rejection);
+    for (const SendAttempt& attempt : harness.takeSent())
+        BOOST_TEST(attempt.instance != resting);
+    for (const SendAttempt& attempt : sent) {
+        if (attempt.attempt != first->attempt)
+            harness.reply(attempt, RouterHarness::success(attempt.instance));
+    }
+    const TimePoint restEnd = harness.now + std::chrono::seconds { 30 };
+    BOOST_TEST(!serveRandomRequests(harness, random).contains(resting));
+    BOOST_REQUIRE((harness.now < restEnd));
+    harness.advance(std::chrono::duration_cast<Micros>(restEnd - harness.now) + milliseconds { 1'000 });
+    // It is tried by one request at a time until it has answered one.
+    std::vector<SendAttempt> tried;
+    for (int n = 0; n < 60; ++n)
+        harness.sendRequest(n % 2 == 0 ? "/order/x" : "/search/x");
+    sent = harness.takeSent();
+    std::copy_if(sent.begin(), sent.end(), std::back_inserter(tried), [&](const SendAttempt& attempt) { return attempt.instance == resting; });
+    BOOST_TEST(tried.size() <= 1u);
+    for (const SendAttempt& attempt : sent)
+        harness.reply(attempt, RouterHarness::success(attempt.instance));
+    BOOST_TEST(serveRandomRequests(harness, random).contains(resting));
+}
+
+// Guards against callers who wait for servers that all want nothing, or who are told to come back too early.
+BOOST_AUTO_TEST_CASE(ACallerIsRefusedAtOnceWhileAllServersRest)
+{
+    RouterHarness harness;
+    harness.setUpCollections(1);
+    std::set<std::string> resting;
+    while (resting.size() < 3) {
+        harness.sendRequest("/book/x");
+        for (const SendAttempt& attempt : harness.takeSent()) {
+            ServerReply rejection = RouterHarness::failure(ReplyKind::NotExecuted, 503);
+            rejection.rest.emplace().duration = milliseconds { 700 };
+            resting.insert(attempt.instance);
+            harness.reply(attempt, rejection);
+        }
+    }
+    // Requests that were sent before the last server asked.
+    harness.takeSent();
+    harness.takeEffects<RefuseRequest>();
+    harness.sendRequest("/book/x");
+    BOOST_TEST(harness.takeSent().empty());
+    const std::vector<RefuseRequest> refusals = harness.takeEffects<RefuseRequest>();
+    BOOST_REQUIRE(refusals.size() == 1u);
+    BOOST_TEST(refusals.front().notRun);
+    BOOST_TEST((refusals.front().retryAfter && *refusals.front().retryAfter >= milliseconds { 600 }));
+    // Values that are no time change nothing.
+    harness.advance(milliseconds { 2'000 });
+    harness.sendRequest("/book/x");
+    std::vector<SendAttempt> sent = harness.takeSent();
+    BOOST_REQUIRE(sent.size() == 1u);
+    ServerReply unreadable = RouterHarness::failure(ReplyKind::NotExecuted, 503);
+    unreadable.rest.emplace();
+    harness.reply(sent.front(), unreadable);
+    BOOST_TEST(harness.takeSent().size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
