--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -1,9 +1,13 @@
+#include "core/random.h"
 #include "platform/http_fields.h"
 #include "platform/http_names.h"
 #include "platform/route_document_json.h"
 #include "platform/server_list_json.h"
 
+#include <boost/random/uniform_int_distribution.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include <map>
 #include <optional>
@@ -79,6 +83,42 @@
     BOOST_TEST(serverPagePath("t") == "/instances?pageToken=t");
 }
 
+// Guards against an entry that cannot be read, whatever its bytes, and that hides the other servers: those that leave go on to get requests.
+BOOST_AUTO_TEST_CASE(UnreadableBytesHideNoOtherEntry)
+{
+    const auto good = [](int n) { return fmt::format(R"({{"service":"s","address":"10.0.0.{0}:80","zone":"z","slots":2,"state":"draining","id":"i{0}"}})", n); };
+    const std::string nested = std::string(100, '[') + std::string(100, ']');
+    for (const std::string& bad : std::vector<std::string> { "{\"id\":\"\xff\xfe\xfd\"}", "{\"id\":\"\\ud800\"}", std::string("{\"id\":\"a\0b\"}", 12), "{\"id\":" + nested + "}", "{\"slots\":1e999999}", "{\"id\":\"open}", "{\"id\":[}", "{\"id\":\"x\",}", "{\"id\" \"x\"}", "\xff", "{]}", "{\"a\":\"\\\"}", good(9).replace(60, 9, "\"slots\":\"2\""), good(9).replace(10, 1, "\xc3") }) {
+        for (int position = 0; position < 3; ++position) {
+            std::vector<std::string> entries { good(1), good(2) };
+            entries.insert(entries.begin() + position, bad);
+            const std::variant<ServerPage, DecodeError> decoded = decodeServerPage(fmt::format("{{\"instances\": [{}], \"nextToken\":\"p-2\"}}", fmt::join(entries, " , ")));
+            BOOST_TEST_REQUIRE(std::holds_alternative<ServerPage>(decoded), bad);
+            const ServerPage& page = std::get<ServerPage>(decoded);
+            BOOST_TEST(page.nextToken.value_or("") == "p-2");
+            BOOST_TEST(page.servers.size() == 2u, bad << " at " << position);
+            for (const routing::ServerRecord& record : page.servers)
+                BOOST_TEST((record.leaving && (record.instance == "i1" || record.instance == "i2")));
+        }
+    }
+}
+
+// The same with entries of random bytes.
+BOOST_DATA_TEST_CASE(RandomEntriesHideNoOtherEntry, boost::unit_test::data::xrange(1, 301), seed)
+{
+    Random random(static_cast<std::uint64_t>(seed));
+    const auto below = [&random](std::size_t bound) { return boost::random::uniform_int_distribution<std::size_t>(0, bound - 1)(random); };
+    const auto good = [](int n) { return fmt::format(R"({{"service":"s","address":"10.0.0.{0}:80","zone":"z","slots":2,"state":"ready","id":"i{0}"}})", n); };
+    std::string bad = good(9);
+    for (std::size_t n = 1 + below(6); n > 0; --n)
+        bad[below(bad.size())] = below(2) == 0 ? "\"{}[],:\\"[below(8)] : static_cast<char>(below(256));
+    const std::variant<ServerPage, DecodeError> decoded = decodeServerPage(fmt::format("{{\"instances\":[{},{},{}],\"nextToken\":null}}", good(1), bad, good(2)));
+    BOOST_REQUIRE(std::holds_alternative<ServerPage>(decoded));
+    const routing::ServerList& servers = std::get<ServerPage>(decoded).servers;
+    for (const char* instance : { "i1", "i2" })
+        BOOST_TEST((std::find_if(servers.begin(), servers.end(), [&](const routing::ServerRecord& record) { return record.instance == instance; }) != servers.end()), instance << " is hidden by " << bad);
+}
+
 // Guards against forwarding hop-by-hop fields and fields that are set for each attempt.
 BOOST_AUTO_TEST_CASE(HopByHopFieldsAreNotForwarded)
 {
