Take over the address of the server list at a reload

cause: the reload took over the seeds only; the poller kept the address that it was started with, and nothing said so. ruled out: the signal: 1230 is logged on each coordinator. change: the address and the call rate are used from the next fetch on.

--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -11,6 +11,7 @@
 #include "main/feed_publisher.h"
 #include "main/group_links.h"
 #include "main/server_list_poller.h"
+#include "main/settings_change.h"
 #include "transport/http_router.h"
 #include "transport/http_server.h"
 #include "transport/io_threads.h"
@@ -60,6 +61,8 @@
         , api(runtime, sink, settings.http.port)
         , crashApi(runtime, links.loop(), publisher, sink, settings.http.port)
         , seeds(settings.groupConnection.seeds)
+        , serverList(settings.serverList)
+        , listCallsPerSecond(settings.listCallsPerSecond)
     {
         api.addRoutes(router);
         crashApi.addRoutes(router);
@@ -276,6 +279,33 @@
         metrics.gauge("curranttrail_control_voters", "Voters of the group.").set(static_cast<double>(status.voters.size()));
     }
 
+    void reload(const CoordinatorSettings& changed)
+    {
+        logSettingsThatNeedRestart({
+                                       { "name", changed.name == settings.name },
+                                       { "data_centre", changed.dataCentre == settings.dataCentre },
+                                       { "data_folder", changed.dataFolder == settings.dataFolder },
+                                       { "http", changed.http == settings.http },
+                                       { "metrics", changed.metrics == settings.metrics },
+                                       { "stop_limit", changed.stopTimeout == settings.stopTimeout },
+                                       { "group.address", changed.group == settings.group },
+                                       { "group.group_port", changed.groupConnection.groupPort == settings.groupConnection.groupPort },
+                                       { "group.link_key", changed.groupConnection.linkKey == settings.groupConnection.linkKey },
+                                       { "group.lost_disks", changed.toleratedDiskLosses == settings.toleratedDiskLosses },
+                                   },
+            sink);
+        links.loop().post([this, changed] {
+            seeds = changed.groupConnection.seeds;
+            if (changed.serverList == serverList && changed.listCallsPerSecond == listCallsPerSecond)
+                return;
+            sink.log(events::kServerListMoved, { { "from", serverList.text() }, { "to", changed.serverList.text() }, { "calls_per_second", fmt::to_string(changed.listCallsPerSecond) } });
+            serverList = changed.serverList;
+            listCallsPerSecond = changed.listCallsPerSecond;
+            poller.setSource(serverList, listCallsPerSecond);
+            lastPoll = {};
+        });
+    }
+
     void finishRequests(std::chrono::milliseconds limit)
     {
         const std::shared_ptr<std::promise<void>> idle = std::make_shared<std::promise<void>>();
@@ -316,7 +346,10 @@
     ServerListPoller poller;
     DocumentApi api;
     CrashApi crashApi;
+    // Settings that may change while the process runs.
     std::vector<transport::Endpoint> seeds;
+    transport::Endpoint serverList;
+    double listCallsPerSecond = 0;
     TimePoint lastPoll;
     TimePoint lastJoin;
     TimePoint lastLeave;
@@ -343,11 +376,7 @@
 
 void CoordinatorDaemon::start() { m_implementation->start(); }
 
-void CoordinatorDaemon::setSeeds(std::vector<transport::Endpoint> seeds)
-{
-    Implementation& implementation = *m_implementation;
-    implementation.links.loop().post([&implementation, seeds = std::move(seeds)]() mutable { implementation.seeds = std::move(seeds); });
-}
+void CoordinatorDaemon::reload(const CoordinatorSettings& changed) { m_implementation->reload(changed); }
 
 void CoordinatorDaemon::stop(std::chrono::milliseconds limit) { m_implementation->stop(limit); }
 
--- a/main/coordinator_daemon.h
+++ b/main/coordinator_daemon.h
@@ -19,8 +19,9 @@
     CoordinatorDaemon& operator=(const CoordinatorDaemon&) = delete;
 
     void start();
-    // Replaces the seeds of the control group.
-    void setSeeds(std::vector<transport::Endpoint> seeds);
+    // Takes over what can be changed while the process runs: the seeds, and the address and call rate of the server list. Settings that
+    // have changed besides are named in the log. May be called from any thread.
+    void reload(const CoordinatorSettings& changed);
     // Leaves the group if that does not need this instance, answers the open requests and ends all threads within the limit. With a limit
     // of zero it ends at once.
     void stop(std::chrono::milliseconds limit);
--- a/main/coordinator_program.cpp
+++ b/main/coordinator_program.cpp
@@ -17,7 +17,7 @@
         CoordinatorDaemon daemon(settings, sink);
         StopRequest stop(threads, sink, [&] {
             if (const std::optional<CoordinatorSettings> changed = reloadSettings<CoordinatorSettings>(path, &readCoordinatorSettings, sink))
-                daemon.setSeeds(changed->groupConnection.seeds);
+                daemon.reload(*changed);
         });
         daemon.start();
         sink.log(events::kReady, { { "http_port", std::to_string(settings.http.port) }, { "group_port", std::to_string(settings.group.port) } });
--- a/main/feed_events.h
+++ b/main/feed_events.h
@@ -21,14 +21,17 @@
     inline constexpr EventDescription kServerListUnreadable { 1212, "server_list_unreadable", Severity::Warning, "Entries of the platform's list are not valid servers and are skipped; the others are used." };
     inline constexpr EventDescription kServerListChanged { 1213, "server_list_changed", Severity::Information, "The list of backend servers changed and is published to the entry instances." };
     inline constexpr EventDescription kServerListOutdated { 1214, "server_list_outdated", Severity::Information, "A list that was fetched before this instance became the leader is not published, because the last leader may have published a newer one." };
+    inline constexpr EventDescription kServerListMoved { 1215, "server_list_moved", Severity::Information, "The settings name another address or call rate for the platform's list; they are used from the next fetch on." };
     inline constexpr EventDescription kRequestReleased { 1216, "request_released", Severity::Information, "An operator let the request with this fingerprint run again; `known` is false if no server had ended under it." };
     inline constexpr EventDescription kFeedRegained { 1220, "feed_regained", Severity::Information, "A control leader answers; the configuration and the server list are up to date." };
     inline constexpr EventDescription kFeedLost { 1221, "feed_lost", Severity::Warning, "No control leader answers; the last configuration and server list stay in use." };
     inline constexpr EventDescription kDocumentUnreadable { 1222, "document_unreadable", Severity::Error, "A committed configuration document could not be decoded; the previous one stays active." };
     inline constexpr EventDescription kForeignReplyDropped { 1225, "foreign_reply_dropped", Severity::Warning, "A server sent a reply to another request, such as a late second copy; it was dropped and the reply to this request is awaited." };
-    inline constexpr EventDescription kSettingsReloaded { 1230, "settings_reloaded", Severity::Information, "The settings file was reloaded; its seeds are used from now on." };
+    inline constexpr EventDescription kSettingsReloaded { 1230, "settings_reloaded", Severity::Information, "The settings file was reloaded; what can be changed while the process runs is in use from now on." };
     inline constexpr EventDescription kSettingsRefused { 1231, "settings_refused", Severity::Error, "The reloaded settings file has errors; the previous settings stay in use." };
 
+    inline constexpr EventDescription kSettingNeedsRestart { 1232, "setting_needs_restart", Severity::Warning, "The reloaded settings file changes a setting that is only read at the start; the previous value stays in use." };
+
 } // namespace events
 
 inline constexpr std::array kFeedEvents {
@@ -51,6 +54,8 @@
     &events::kForeignReplyDropped,
     &events::kSettingsReloaded,
     &events::kSettingsRefused,
+    &events::kServerListMoved,
+    &events::kSettingNeedsRestart,
 };
 
 } // namespace curranttrail
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -5,6 +5,7 @@
 #include "main/control_feed.h"
 #include "main/events.h"
 #include "main/feed_events.h"
+#include "main/settings_change.h"
 #include "platform/http_fields.h"
 #include "platform/http_names.h"
 #include "platform/route_document_json.h"
@@ -530,9 +531,23 @@
     asio::post(m_implementation->context, [implementation = m_implementation.get(), requestedAt = transport::monotonicNow()] { implementation->beginStop(requestedAt); });
 }
 
-void GatewayDaemon::setSeeds(std::vector<transport::Endpoint> seeds)
+void GatewayDaemon::reload(const GatewaySettings& changed)
 {
-    asio::post(m_implementation->context, [implementation = m_implementation.get(), seeds = std::move(seeds)]() mutable {
+    const GatewaySettings& settings = m_implementation->settings;
+    logSettingsThatNeedRestart({
+                                   { "name", changed.name == settings.name },
+                                   { "data_centre", changed.dataCentre == settings.dataCentre },
+                                   { "callers", changed.callers == settings.callers },
+                                   { "ready", changed.ready == settings.ready },
+                                   { "metrics", changed.metrics == settings.metrics },
+                                   { "relay", changed.relay == settings.relay },
+                                   { "grace", changed.gracePeriod == settings.gracePeriod },
+                                   { "group.group_port", changed.groupConnection.groupPort == settings.groupConnection.groupPort },
+                                   { "group.link_key", changed.groupConnection.linkKey == settings.groupConnection.linkKey },
+                                   { "repeats", changed.additionalAttempts == settings.additionalAttempts },
+                               },
+        m_implementation->sink);
+    asio::post(m_implementation->context, [implementation = m_implementation.get(), seeds = changed.groupConnection.seeds]() mutable {
         if (implementation->controlFeed)
             implementation->controlFeed->setSeeds(std::move(seeds));
     });
--- a/main/gateway_daemon.h
+++ b/main/gateway_daemon.h
@@ -20,8 +20,9 @@
     void run();
     // Reports not ready, finishes the requests in flight and then makes run() return. May be called from any thread.
     void stop();
-    // Replaces the seeds of the control group. May be called from any thread.
-    void setSeeds(std::vector<transport::Endpoint> seeds);
+    // Takes over the seeds of the control group, which can be changed while the process runs. Settings that have changed besides are named
+    // in the log. May be called from any thread.
+    void reload(const GatewaySettings& changed);
 
 private:
     struct Implementation;
--- a/main/gateway_program.cpp
+++ b/main/gateway_program.cpp
@@ -17,7 +17,7 @@
         transport::IoThreads threads(1);
         const auto reload = [&] {
             if (const std::optional<GatewaySettings> changed = reloadSettings<GatewaySettings>(path, &readGatewaySettings, sink))
-                daemon.setSeeds(changed->groupConnection.seeds);
+                daemon.reload(*changed);
         };
         const StopRequest stop(threads, sink, reload, [&] { daemon.stop(); });
         daemon.run();
--- a/main/server_list_poller.cpp
+++ b/main/server_list_poller.cpp
@@ -23,9 +23,7 @@
 struct ServerListPoller::State : std::enable_shared_from_this<State> {
     State(transport::IoThreads& io, transport::Endpoint endpoint, double callsPerSecond, transport::EventSink& eventSink, Callback deliver)
         : threads(io)
-        , address(std::move(endpoint))
-        , pageInterval(static_cast<std::int64_t>(1e6 / (callsPerSecond * kUsedShareOfRate)))
-        , unpacedPages(static_cast<std::size_t>(callsPerSecond * kUnpacedShareOfRate))
+        , nextSource { std::move(endpoint), callsPerSecond }
         , sink(eventSink)
         , callback(std::move(deliver))
         , client(io, { 4u << 20, 1, std::chrono::milliseconds { 4'000 } })
@@ -36,7 +34,7 @@
     {
         transport::HttpRequest request;
         request.path = platform::serverPagePath(token);
-        client.request(address, request, kPageTimeout, [weak = weak_from_this()](const transport::HttpResult& result) {
+        client.request(source.address, request, kPageTimeout, [weak = weak_from_this()](const transport::HttpResult& result) {
             if (const std::shared_ptr<State> self = weak.lock())
                 self->handlePage(result);
         });
@@ -57,12 +55,12 @@
         unreadable += page.unreadable;
         for (routing::ServerRecord& record : page.servers)
             servers.push_back(std::move(record));
-        if (page.nextToken && ++pages < unpacedPages) {
+        if (page.nextToken && ++pages < static_cast<std::size_t>(source.callsPerSecond * kUnpacedShareOfRate)) {
             fetch(*page.nextToken);
             return;
         }
         if (page.nextToken && pages < kMaximumPages) {
-            threads.after(pageInterval, [weak = weak_from_this(), token = *page.nextToken] {
+            threads.after(Micros { static_cast<std::int64_t>(1e6 / (source.callsPerSecond * kUsedShareOfRate)) }, [weak = weak_from_this(), token = *page.nextToken] {
                 if (const std::shared_ptr<State> self = weak.lock())
                     self->fetch(token);
             });
@@ -95,15 +93,18 @@
     }
 
     transport::IoThreads& threads;
-    const transport::Endpoint address;
-    const Micros pageInterval;
-    const std::size_t unpacedPages;
+    struct Source {
+        transport::Endpoint address;
+        double callsPerSecond = 0;
+    };
     transport::EventSink& sink;
     Callback callback;
     transport::HttpClient client;
     std::mutex mutex;
     bool isRunning = false;
+    Source nextSource;
     // State of the fetch in progress.
+    Source source;
     TimePoint startedAt;
     routing::ServerList servers;
     std::size_t pages = 0;
@@ -117,12 +118,19 @@
 {
 }
 
+void ServerListPoller::setSource(transport::Endpoint address, double callsPerSecond)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->nextSource = { std::move(address), callsPerSecond };
+}
+
 void ServerListPoller::poll()
 {
     {
         const std::lock_guard lock(m_state->mutex);
         if (std::exchange(m_state->isRunning, true))
             return;
+        m_state->source = m_state->nextSource;
     }
     m_state->startedAt = transport::monotonicNow();
     m_state->servers.clear();
--- a/main/server_list_poller.h
+++ b/main/server_list_poller.h
@@ -21,6 +21,8 @@
     // The callback receives each complete list, on an I/O thread.
     ServerListPoller(transport::IoThreads& threads, transport::Endpoint address, double callsPerSecond, transport::EventSink& sink, Callback callback);
 
+    // Changes the address and the call rate, from the next fetch on. May be called from any thread.
+    void setSource(transport::Endpoint address, double callsPerSecond);
     // Starts a fetch unless one is in progress. A failed fetch is discarded as a whole; the list delivered last stays valid.
     void poll();
 
--- a/policy/additional_attempt_budget.h
+++ b/policy/additional_attempt_budget.h
@@ -14,6 +14,8 @@
     // Further additional attempts in each window.
     double allowance = 50;
     Micros window { 10'000'000 };
+
+    bool operator==(const AdditionalAttemptLimits&) const = default;
 };
 
 // One instance's share of a budget of additional attempts that is divided among all instances. It is a token bucket: each first
--- a/tests/main/gateway_test.cpp
+++ b/tests/main/gateway_test.cpp
@@ -191,6 +191,28 @@
     BOOST_TEST(logged("repair_completed"));
 }
 
+// Guards against servers that leave or appear unnoticed because the platform's list has moved: a changed address was ignored at a reload.
+BOOST_AUTO_TEST_CASE(AMovedServerListIsUsedAfterAReload)
+{
+    StartedGatewayFixture system;
+    StampedServers moved;
+    // Other ids than those of the servers in the first list.
+    for (std::size_t n = 0; n < system.servers.size(); ++n)
+        moved.add("unused");
+    moved.add("orders");
+    for (std::size_t n = 0; n < system.coordinators.size(); ++n) {
+        CoordinatorSettings changed = system.coordinatorSettings[n];
+        changed.serverList.port = moved.listPort();
+        changed.dataCentre = "another";
+        system.coordinators[n]->reload(changed);
+    }
+    BOOST_TEST(GatewayFixture::eventually([&] { return system.ask("/order/x", "moved").find("orders|i-6-1") != std::string::npos; }));
+    const std::string events = system.sink.recentAsJson(0, 4'096);
+    BOOST_TEST(events.find("server_list_moved") != std::string::npos);
+    BOOST_TEST(events.find("\"setting\":\"data_centre\"") != std::string::npos);
+    BOOST_TEST(events.find("\"setting\":\"http\"") == std::string::npos);
+}
+
 // Guards against a non-repeatable request that runs twice, or that is refused as not run after it ran.
 BOOST_AUTO_TEST_CASE(ARequestThatMayRunOnceRunsAtMostOnce)
 {
