--- a/routing/router.h
+++ b/routing/router.h
@@ -299,6 +299,7 @@
     void sendHeldParts(RequestKey key, Request& request, std::size_t maximum);
     void failHeldParts(Request& request);
     bool isSuspect(const Request& request) const;
+    // Decides what becomes of the parts whose servers ended. The request goes on; the caller evaluates it.
     void judgeEndedParts(RequestKey key, Request& request);
     bool mayRunAgain(const Request& request, const Part& part) const;
     bool isEndPossible(const Request& request) const;
--- a/routing/router_crashes.cpp
+++ b/routing/router_crashes.cpp
@@ -149,6 +149,7 @@
     part.hasServerEnded = true;
     ++request.serversEnded;
     judgeEndedParts(lost.request, request);
+    evaluate(lost.request);
 }
 
 // Decides on the parts whose servers ended. As long as no other part has been answered, the request may be what ended them.
@@ -178,7 +179,6 @@
     }
     if (request.done == 0)
         failHeldParts(request);
-    evaluate(key);
 }
 
 // Lets a request to many shards that may end servers begin with one shard, if possible with one that has not lost a server under it.
--- a/tests/routing/crash_test.cpp
+++ b/tests/routing/crash_test.cpp
@@ -1,4 +1,5 @@
 #include "tests/routing/crash_world.h"
+#include "tests/routing/router_harness.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -191,4 +192,25 @@
     }
 }
 
+// A server ended under a query, which can no longer be covered once another part is answered. Guards against a read of the query after it was
+// refused, which only a memory checker shows.
+BOOST_AUTO_TEST_CASE(AQueryThatIsRefusedOnAnAnswerIsNotReadAfterIt)
+{
+    RouterHarness harness;
+    harness.setUpCollections(3, 1.0);
+    std::erase_if(harness.serverList, [](const ServerRecord& record) { return record.instance.ends_with('b'); });
+    harness.publish();
+    harness.sendRequest("/search/x");
+    const std::vector<SendAttempt> sent = harness.takeSent();
+    BOOST_REQUIRE(sent.size() == 3u);
+    harness.unreachableAddresses.insert(harness.addressOf(sent[0].instance));
+    const ConnectionId opening { harness.openedConnections + 1 };
+    harness.handle(AttemptConnectionLost { sent[0].attempt, "reset" });
+    harness.handle(ConnectionLost { opening, "refused" });
+    BOOST_TEST(harness.router.counters().serversEnded == 1u);
+    BOOST_TEST(harness.takeEffects<RefuseRequest>().empty());
+    harness.reply(sent[1], RouterHarness::success("stamp"));
+    BOOST_TEST(harness.takeEffects<RefuseRequest>().size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
