Say at each replica and gateway why there is no control leader

`held=0` beside `result=not_leader` reads as if the disk were empty, though a refusal carried no version. So the hypotheses of the incident (a member that is gone and still counted, a lost removal, old seeds, more than one replica under repair, waiting for a member that never returns) can't be told apart. ruled out: 3004, 3002 and 1204 say that a leader was lost, not what keeps the next one from being elected. change: 3022 `no_leader` every 2 s at each replica that has heard from no leader for 2 s: members counted, newest entry, vote, repair, answers to the last request for votes, and who asked. 1223 `no_control_leader` every 5 s at a gateway: whom it tried and what each one answered. 1200 gives the version held also in a refusal, and the leader that the operator was sent to. Metrics for the time without a leader, repair and learners. No decision of a replica depends on it.

--- a/control/control_election.cpp
+++ b/control/control_election.cpp
@@ -4,7 +4,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace curranttrail::control {
 
@@ -13,6 +16,43 @@
     // shorter than an election timeout, so that a group has a leader soon after all replicas restart.
     constexpr Micros kMinimumFirstElectionDelay { 20'000 };
     constexpr Micros kMaximumFirstElectionDelay { 100'000 };
+    // Longer than an election takes, so that a change of leader is not reported.
+    constexpr Micros kMissingLeaderReportDelay { 2'000'000 };
+    constexpr Micros kMissingLeaderReportInterval { 2'000'000 };
+
+    // What became of a request for a vote.
+    enum class VoteAnswer {
+        None,
+        Granted,
+        // Counts only if no voter leads.
+        GrantedConditionally,
+        // Counts only if every voter grants its vote.
+        GrantedUnderRepair,
+        Refused,
+        RefusedUnderRepair,
+        RefusedByLeader,
+    };
+
+    constexpr std::array<EnumName<VoteAnswer>, 7> kVoteAnswerNames { {
+        { VoteAnswer::None, "none" },
+        { VoteAnswer::Granted, "granted" },
+        { VoteAnswer::GrantedConditionally, "granted_conditionally" },
+        { VoteAnswer::GrantedUnderRepair, "granted_under_repair" },
+        { VoteAnswer::Refused, "refused" },
+        { VoteAnswer::RefusedUnderRepair, "refused_under_repair" },
+        { VoteAnswer::RefusedByLeader, "refused_by_leader" },
+    } };
+
+    VoteAnswer answerOf(const VoteReply& reply)
+    {
+        if (reply.granted && reply.repairId != 0)
+            return VoteAnswer::GrantedUnderRepair;
+        if (reply.granted)
+            return reply.conditional ? VoteAnswer::GrantedConditionally : VoteAnswer::Granted;
+        if (reply.leads)
+            return VoteAnswer::RefusedByLeader;
+        return reply.repairId == 0 ? VoteAnswer::Refused : VoteAnswer::RefusedUnderRepair;
+    }
 }
 
 void ControlReducer::checkTimers()
@@ -29,6 +69,7 @@
     }
     if (m_now < m_electionDeadline)
         return;
+    reportMissingLeader();
     m_leader.reset();
     if (isVoter() && !m_storageFailed && (m_repairId == 0 || m_options.bootstrap))
         startElection(true);
@@ -54,6 +95,7 @@
     restartElectionTimer();
     m_leader.reset();
     m_grantedVotes.clear();
+    m_voteReplies.clear();
     m_nonLeaders.clear();
     if (preVote) {
         m_voterStartIds.clear();
@@ -79,6 +121,44 @@
     advanceElection();
 }
 
+Micros ControlReducer::timeWithoutLeader(TimePoint now) const
+{
+    if (m_role == Role::Leader)
+        return Micros { 0 };
+    return now - std::max(m_leaderContact.value_or(m_startedAt), m_ledUntil);
+}
+
+// One line at each replica shows why a group elects no leader: whom it counts, who answers, and who holds the newest log.
+void ControlReducer::reportMissingLeader()
+{
+    const Micros duration = timeWithoutLeader(m_now);
+    if (duration < kMissingLeaderReportDelay || m_now < m_nextLeaderReport)
+        return;
+    m_nextLeaderReport = m_now + kMissingLeaderReportInterval;
+    std::vector<std::string> answers;
+    for (const InstanceName& voter : members().voters) {
+        const auto it = m_voteReplies.find(voter);
+        const VoteAnswer answer = it == m_voteReplies.end() ? VoteAnswer::None : answerOf(it->second);
+        if (voter != m_options.name)
+            answers.push_back(fmt::format("{}={}", voter, nameOf(kVoteAnswerNames, answer)));
+    }
+    log(kNoLeader, {
+                       { "for_us", fmt::to_string(duration.count()) },
+                       { "term", fmt::to_string(m_term) },
+                       { "last_term", fmt::to_string(m_log.lastTerm()) },
+                       { "last_index", fmt::to_string(m_log.lastIndex()) },
+                       { "commit_index", fmt::to_string(m_commitIndex) },
+                       { "voters", fmt::format("{}", fmt::join(members().voters, ",")) },
+                       { "learners", fmt::format("{}", fmt::join(members().learners, ",")) },
+                       { "voted_for", m_votedFor.value_or("") },
+                       { "repairing", m_repairId == 0 ? "false" : "true" },
+                       { "storage_failed", m_storageFailed ? "true" : "false" },
+                       { "answers", fmt::format("{}", fmt::join(answers, ",")) },
+                       { "asked_by", fmt::format("{}", fmt::join(m_askedForVote, ",")) },
+                   });
+    m_askedForVote.clear();
+}
+
 bool ControlReducer::hasRecentLeader() const
 {
     if (m_role == Role::Leader)
@@ -122,6 +202,8 @@
 
 void ControlReducer::onMessage(const InstanceName& from, const VoteRequest& request)
 {
+    if (m_role != Role::Leader && m_askedForVote.size() < kMaximumMembers)
+        m_askedForVote.insert(from);
     if (request.preVote) {
         const bool granted = canGrantVote(from, request);
         send(from, VoteReply { granted ? request.term : m_term, true, granted, m_repairId, m_options.seed, mayHaveSupportedLease(), m_role == Role::Leader });
@@ -155,6 +237,7 @@
     const bool matches = reply.preVote ? m_role == Role::PreCandidate && (!reply.granted || reply.term == m_term + 1) : m_role == Role::Candidate && reply.term == m_term;
     if (!matches)
         return;
+    m_voteReplies[from] = reply;
     if (reply.preVote)
         m_voterStartIds[from] = reply.start;
     if (!reply.leads)
@@ -257,6 +340,7 @@
     if (m_leaseHeld)
         log(kLeaseLost, { { "term", fmt::to_string(m_term) } });
     m_leaseHeld = false;
+    m_ledUntil = m_now;
     // Entries that await the group commit are written too, since they are in the log and may have been sent to followers.
     if (m_writtenIndex < m_log.lastIndex())
         writeEntriesFrom(m_writtenIndex + 1);
--- a/control/control_leader.cpp
+++ b/control/control_leader.cpp
@@ -66,6 +66,8 @@
     if (m_role != Role::Leader) {
         CommandResult result = refusal(CommandStatus::NotLeader, "this replica is not the leader; another replica is, or none");
         result.leader = m_leader;
+        if (std::holds_alternative<SetDocument>(command))
+            result.version.value = state().document.version;
         return result;
     }
     if (m_storageFailed)
--- a/control/control_reducer.h
+++ b/control/control_reducer.h
@@ -148,6 +148,9 @@
     bool mayHaveSupportedLease() const;
     bool isVoteBlockedByLease(const VoteRequest& request) const;
     bool noOtherVoterLeads() const;
+    // Time since the last contact with a leader, or since the start if there was none. Zero at a leader.
+    Micros timeWithoutLeader(TimePoint now) const;
+    void reportMissingLeader();
     void startRepair(std::string_view reason);
     void completeRepair(const InstanceName& leader);
 
@@ -229,6 +232,13 @@
         bool conditional = false;
     };
     std::map<InstanceName, GrantedVote> m_grantedVotes;
+    // Replies to the last request for votes of this replica, and the replicas that have asked for its vote since the last report of a
+    // missing leader.
+    std::map<InstanceName, VoteReply> m_voteReplies;
+    std::set<InstanceName> m_askedForVote;
+    TimePoint m_nextLeaderReport;
+    // Time at which this replica last stepped down.
+    TimePoint m_ledUntil;
     // Other voters that stated in this election that they do not lead.
     std::set<InstanceName> m_nonLeaders;
     // Process start id of each voter that replied to the last pre-vote.
--- a/control/events.h
+++ b/control/events.h
@@ -28,10 +28,13 @@
 inline constexpr EventDescription kChangeAccepted { 3020, "change_accepted", Severity::Information, "A change to the configuration of a class was committed." };
 inline constexpr EventDescription kDocumentAccepted { 3021, "document_accepted", Severity::Information, "A configuration document of a higher version was committed." };
 
-inline constexpr std::array<const EventDescription*, 20> kControlEvents {
+inline constexpr EventDescription kNoLeader { 3022, "no_leader", Severity::Warning, "This replica has known no leader for a while. Repeated until there is one; says what this replica holds, whom it counts, and what became of its last request for votes." };
+
+inline constexpr std::array<const EventDescription*, 21> kControlEvents {
     &kReplicaStarted, &kBecameLeader, &kSteppedDown, &kLeaseGained, &kLeaseLost, &kElectionStarted, &kVoteGranted, &kMembersChanged,
     &kRepairStarted, &kRepairCompleted, &kPeerRepairing, &kPeerRepaired, &kPeerRegressed, &kStorageFailed, &kStorageRestored,
-    &kSnapshotTaken, &kSnapshotInstalled, &kProtocolViolation, &kChangeAccepted, &kDocumentAccepted
+    &kSnapshotTaken, &kSnapshotInstalled, &kProtocolViolation, &kChangeAccepted, &kDocumentAccepted,
+    &kNoLeader
 };
 
 } // namespace curranttrail::control
--- a/control/messages.h
+++ b/control/messages.h
@@ -108,7 +108,8 @@
 
 struct CommandResult {
     CommandStatus status = CommandStatus::Invalid;
-    // Version of the class after an accepted change, or its current version on a conflict.
+    // Version of the class after an accepted change, or its current version on a conflict. For a document, the version that is in
+    // force after the command or, if this replica is not the leader, the newest one that this replica knows to be committed.
     ConfigurationVersion version;
     // Outcome of the earlier claim. Set for a duplicate claim.
     Verdict earlier = Verdict::MayHaveRun;
@@ -351,6 +352,8 @@
     ConfigurationVersion configurationVersion;
     std::set<InstanceName> voters;
     std::set<InstanceName> learners;
+    // Time since this replica last heard from a leader. Zero at a leader.
+    Micros timeWithoutLeader { 0 };
 };
 
 } // namespace curranttrail::control
--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -4,8 +4,11 @@
 #include "main/group_links.h"
 #include "transport/control_protocol.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace curranttrail {
 
@@ -22,6 +25,9 @@
     constexpr Micros kNoLeaderRetryDelay { 50'000 };
     // Redirects between replicas that name each other as leader end after this number.
     constexpr unsigned kMaximumRedirects = 3;
+    // Longer than an election takes, so that a change of leader is not reported.
+    constexpr Micros kMissingLeaderReportDelay { 2'000'000 };
+    constexpr Micros kMissingLeaderReportInterval { 5'000'000 };
 
     transport::LinkOptions feedOptions(const InstanceName& name, const std::string& key, transport::EventSink& sink)
     {
@@ -93,7 +99,9 @@
         handleReply(std::move(*reply));
         return;
     }
-    reportLost(result.status == transport::RequestStatus::Answered ? "the reply is malformed" : "no reply");
+    const bool isAnswered = result.status == transport::RequestStatus::Answered;
+    reportLost(isAnswered ? "the reply is malformed" : "no reply");
+    reportMissingLeader(isAnswered ? "malformed_reply" : "no_reply");
     // This callback runs inside the client, so the client is replaced only after it has returned.
     m_loop.post([this] {
         connectToNext();
@@ -107,6 +115,7 @@
         m_members = { reply.members.begin(), reply.members.end() };
     if (!reply.leads) {
         reportLost("the instance is not the leader");
+        reportMissingLeader(reply.leader ? "names_" + *reply.leader : "knows_no_leader");
         const bool redirect = reply.leader && *reply.leader != m_target && ++m_redirects <= kMaximumRedirects;
         m_loop.post([this, redirect, leader = reply.leader.value_or("")] {
             if (redirect)
@@ -118,6 +127,7 @@
         return;
     }
     m_redirects = 0;
+    m_outcomes.clear();
     if (!std::exchange(m_following, true))
         m_sink.log(events::kFeedRegained, { { "leader", m_target }, { "version", std::to_string(reply.documentVersion) } });
     m_nextWatch.documentVersion = std::max(m_nextWatch.documentVersion, reply.documentVersion);
@@ -138,6 +148,24 @@
     m_sink.log(events::kFeedLost, { { "control", m_target }, { "reason", std::string { reason } }, { "version", std::to_string(m_nextWatch.documentVersion) } });
 }
 
+// One line shows why no control instance served as the leader.
+void ControlFeed::reportMissingLeader(std::string_view reason)
+{
+    const TimePoint now = transport::monotonicNow();
+    if (m_outcomes.empty()) {
+        m_leaderlessSince = now;
+        m_nextLeaderReport = now + kMissingLeaderReportDelay;
+    }
+    m_outcomes[m_target] = reason;
+    if (now < m_nextLeaderReport)
+        return;
+    m_nextLeaderReport = now + kMissingLeaderReportInterval;
+    std::vector<std::string> outcomes;
+    for (const auto& [target, outcome] : m_outcomes)
+        outcomes.push_back(fmt::format("{}={}", target, outcome));
+    m_sink.log(events::kNoControlLeader, { { "for_us", fmt::to_string((now - m_leaderlessSince).count()) }, { "tried", fmt::format("{}", fmt::join(outcomes, ",")) }, { "version", fmt::to_string(m_nextWatch.documentVersion) } });
+}
+
 void ControlFeed::connectTo(const InstanceName& name)
 {
     m_target = name;
--- a/main/control_feed.h
+++ b/main/control_feed.h
@@ -7,6 +7,7 @@
 #include "transport/frame_link.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -42,6 +43,7 @@
     void handleResult(const transport::RequestResult& result);
     void handleReply(control::WatchReply reply);
     void reportLost(std::string_view reason);
+    void reportMissingLeader(std::string_view reason);
     void connectTo(const InstanceName& name);
     void connectToNext();
     void watchAfter(Micros delay);
@@ -57,6 +59,10 @@
     std::set<InstanceName> m_members;
     InstanceName m_target;
     bool m_following = false;
+    // Why each control instance did not serve as the leader, since the last report of a missing leader.
+    std::map<InstanceName, std::string> m_outcomes;
+    TimePoint m_leaderlessSince;
+    TimePoint m_nextLeaderReport;
     unsigned m_redirects = 0;
     transport::EventLoop m_loop;
     std::unique_ptr<transport::FrameClient> m_client;
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -277,6 +277,9 @@
         metrics.gauge("curranttrail_control_commit_index", "Index of the last committed entry.").set(static_cast<double>(status.commitIndex));
         metrics.gauge("curranttrail_control_leads", "1 if this replica leads with a valid lease.").set(status.role == control::Role::Leader && status.leaseValid ? 1 : 0);
         metrics.gauge("curranttrail_control_voters", "Voters of the group.").set(static_cast<double>(status.voters.size()));
+        metrics.gauge("curranttrail_control_learners", "Learners of the group.").set(static_cast<double>(status.learners.size()));
+        metrics.gauge("curranttrail_control_repairing", "1 if this replica is under repair and does not vote.").set(status.repairing ? 1 : 0);
+        metrics.gauge("curranttrail_control_without_leader_seconds", "Time since this replica last heard from a leader, 0 at the leader.").set(std::chrono::duration<double>(status.timeWithoutLeader).count());
     }
 
     void reload(const CoordinatorSettings& changed)
--- a/main/document_api.cpp
+++ b/main/document_api.cpp
@@ -79,7 +79,7 @@
             response = refusal(413, "invalid", result.message);
         else
             response = refusal(503, "unavailable", result.message, result.status == control::CommandStatus::OutcomeUnknown ? Verdict::MayHaveRun : Verdict::NotRun);
-        m_sink.log(events::kDocumentAnswered, { { "version", fmt::to_string(version) }, { "held", fmt::to_string(result.version.value) }, { "from", client }, { "status", fmt::to_string(response.status) }, { "result", std::string { nameOf(control::kCommandStatusNames, result.status) } } });
+        m_sink.log(events::kDocumentAnswered, { { "version", fmt::to_string(version) }, { "held", fmt::to_string(result.version.value) }, { "from", client }, { "status", fmt::to_string(response.status) }, { "result", std::string { nameOf(control::kCommandStatusNames, result.status) } }, { "leader", result.leader.value_or("") } });
         responder.send(std::move(response));
     });
 }
--- a/tests/control/control_reducer_test.cpp
+++ b/tests/control/control_reducer_test.cpp
@@ -83,6 +83,16 @@
     });
 }
 
+// Returns the first event of the given kind as text, or an empty string.
+std::string lineOf(const std::vector<Effect>& effects, const EventDescription& description)
+{
+    for (const Effect& effect : effects) {
+        if (const LogEvent* event = std::get_if<LogEvent>(&effect); event && event->description == &description)
+            return formatEvent(*event);
+    }
+    return {};
+}
+
 // A single reducer with an intact disk, after the time in which its vote may be blocked by an earlier lease.
 struct SingleReplica {
     explicit SingleReplica(HardState hardState = { 1, "r1", 0 })
@@ -469,6 +479,38 @@
     BOOST_TEST(group.simulation.state(restored).configuration.version.value == 20u);
 }
 
+// Guards against a group without a leader whose logs do not show who is counted, under repair or silent.
+BOOST_AUTO_TEST_CASE(AReplicaWithoutALeaderSaysWhomItCountsAndWhoAnswers)
+{
+    SingleReplica replica;
+    std::string line;
+    for (int n = 0; n < 40 && line.empty(); ++n) {
+        replica.now += Micros { 100'000 };
+        const std::vector<Effect> effects = replica.reducer.handle(Tick {}, replica.now);
+        line = lineOf(effects, kNoLeader);
+        replica.receive(VoteReply { 1, true, false, 7 });
+        replica.receive(VoteRequest { 2, true, 1, 1 }, "r2");
+    }
+    BOOST_TEST(line.find("voters=r0,r1,r2") != std::string::npos, line);
+    BOOST_TEST(line.find("last_index=1") != std::string::npos, line);
+    BOOST_TEST(line.find("answers=r1=refused_under_repair,r2=none") != std::string::npos, line);
+    BOOST_TEST(line.find("asked_by=r2") != std::string::npos, line);
+    BOOST_TEST((replica.reducer.status(replica.now).timeWithoutLeader >= Micros { 2'000'000 }));
+}
+
+// Guards against a refusal that reads as if the replica held no document, although it was only not the leader.
+BOOST_AUTO_TEST_CASE(ARefusedDocumentNamesTheVersionHeld)
+{
+    Group group;
+    const std::size_t leader = group.leader();
+    BOOST_REQUIRE((group.submit(leader, SetDocument { 7, "content" }).status == CommandStatus::Accepted));
+    const std::size_t follower = group.other(leader, leader);
+    BOOST_REQUIRE(group.simulation.runUntil([&] { return group.simulation.state(follower).document.version == 7; }, kSecond));
+    const CommandResult result = group.submit(follower, SetDocument { 8, "content" });
+    BOOST_TEST((result.status == CommandStatus::NotLeader));
+    BOOST_TEST(result.version.value == 7u);
+}
+
 // Guards against a group that lost all disks and starts empty without an operator's decision.
 BOOST_AUTO_TEST_CASE(NoGroupIsFoundedWithoutBootstrap)
 {
