Refuse a request that waits too long at a stop as stopping

At a stop, a gathered request with one part answered and another waiting for a silent server got 502 (attempts_failed), as if its servers had failed.

--- a/routing/router_stop.cpp
+++ b/routing/router_stop.cpp
@@ -123,6 +123,8 @@
             std::erase(server->waiting, id);
             releaseToken(attempt);
             m_attempts.erase(it);
+            if (const auto request = m_requests.find(attempt.request); request != m_requests.end())
+                request->second.isOutOfTime = true;
             attemptFailed(attempt.request, attempt.part, server.get(), AttemptProgress::NotSent, "the process ends before an answer is expected");
         }
         dispatchWaiting(*server);
--- a/tests/routing/stop_test.cpp
+++ b/tests/routing/stop_test.cpp
@@ -30,6 +30,7 @@
     }
 
     void setServiceTime(Micros time) { m_serviceTime = time; }
+    void setServiceTime(const std::string& instance, Micros time) { m_serviceTimes[instance] = time; }
 
     void stop()
     {
@@ -45,6 +46,14 @@
         return key;
     }
 
+    // Lets time pass in which the process does not run.
+    void stall(Micros duration)
+    {
+        harness.now += duration;
+        harness.handle(Tick {});
+        collect();
+    }
+
     void run(Micros duration)
     {
         const TimePoint until = harness.now + duration;
@@ -59,6 +68,8 @@
     TimePoint endsAt = kNever;
     std::size_t answered = 0;
     std::vector<RefuseRequest> refusals;
+    // Number of answers and refusals of each request.
+    std::map<std::uint64_t, std::size_t> answers;
     // Requests that were passed on to a server.
     std::set<std::uint64_t> passedOn;
     TimePoint lastAnswerAt;
@@ -84,17 +95,26 @@
         for (auto& [instance, works] : m_servers) {
             for (std::size_t n = 0; n < std::min<std::size_t>(2, works.size()); ++n) {
                 if (!works[n].finishedAt)
-                    works[n].finishedAt = harness.now + m_serviceTime;
+                    works[n].finishedAt = harness.now + (m_serviceTimes.contains(instance) ? m_serviceTimes.at(instance) : m_serviceTime);
             }
         }
         for (const RefuseRequest& refusal : harness.takeEffects<RefuseRequest>()) {
             refusals.push_back(refusal);
+            ++answers[refusal.request.value];
             lastAnswerAt = harness.now;
         }
-        const std::size_t count = harness.takeEffects<AnswerReply>().size() + harness.takeEffects<AnswerMerged>().size();
-        answered += count;
-        if (count > 0)
+        collectAnswers<AnswerReply>();
+        collectAnswers<AnswerMerged>();
+    }
+
+    template <typename Answer>
+    void collectAnswers()
+    {
+        for (const Answer& answer : harness.takeEffects<Answer>()) {
+            ++answered;
+            ++answers[answer.request.value];
             lastAnswerAt = harness.now;
+        }
     }
 
     void replyToFinished()
@@ -115,6 +135,8 @@
     // Requests of each server in the order of their arrival.
     std::map<std::string, std::vector<Work>> m_servers;
     Micros m_serviceTime;
+    // Service times of single servers.
+    std::map<std::string, Micros> m_serviceTimes;
 };
 
 } // namespace
@@ -208,6 +230,52 @@
     BOOST_TEST((instance.lastAnswerAt <= instance.endsAt + milliseconds { 400 }));
 }
 
+// Guards against requests that stay open when the process ends, and against a stop that is reported as a failure of the servers: some
+// servers are silent, routes and servers change, and the process does not run all the time.
+BOOST_DATA_TEST_CASE(NothingStaysOpenAtTheEnd, boost::unit_test::data::xrange(1, 41), seed)
+{
+    Random random(static_cast<std::uint64_t>(seed));
+    const auto between = [&random](int minimum, int maximum) { return boost::random::uniform_int_distribution<int>(minimum, maximum)(random); };
+    StoppingInstance instance(milliseconds { between(2, 300) });
+    const Micros silent { 60'000'000 };
+    for (const ServerRecord& record : instance.harness.serverList) {
+        if (between(0, 2) == 0)
+            instance.setServiceTime(record.instance, between(0, 1) == 0 ? silent : Micros { milliseconds { between(300, 4'000) } });
+    }
+    std::size_t sent = 0;
+    const int stopAfter = between(1, 20);
+    for (int n = 0; instance.harness.now < instance.endsAt; ++n) {
+        if (n == stopAfter)
+            instance.stop();
+        for (int requests = between(0, 4); requests > 0; --requests) {
+            constexpr const char* kPaths[] = { "/book/x", "/order/x", "/search/x" };
+            instance.send(kPaths[between(0, 2)]);
+            ++sent;
+        }
+        if (between(0, 9) == 0)
+            instance.harness.handle(RouteDocumentUpdated { instance.harness.document });
+        if (between(0, 9) == 0)
+            instance.harness.publish();
+        if (between(0, 9) == 0)
+            instance.stall(milliseconds { between(100, 600) });
+        instance.run(milliseconds { between(1, 400) });
+    }
+    instance.run(milliseconds { 1 });
+    std::size_t answers = 0;
+    for (const auto& [request, count] : instance.answers) {
+        answers += count;
+        BOOST_TEST(count == 1u);
+    }
+    // Includes the requests that measured the servers.
+    constexpr std::size_t kMeasured = 20;
+    BOOST_TEST(answers == sent + kMeasured);
+    for (const RefuseRequest& refusal : instance.refusals) {
+        BOOST_TEST((refusal.reason == RefusalReason::Stopping || refusal.reason == RefusalReason::TimedOut), nameOf(kRefusalReasonNames, refusal.reason));
+        if (instance.passedOn.contains(refusal.request.value))
+            BOOST_TEST(!refusal.notRun);
+    }
+}
+
 // Another instance relays connections and is about to stop. Guards against requests that it would cut off: idle connections through it are
 // closed, and the others after their reply.
 BOOST_AUTO_TEST_CASE(ARelayThatLeavesGetsNoMoreRequests)
