Answer open requests after a stall at the end of a stop

What callers saw: a gateway process that did not run for some 0.4 s shortly before the end of its grace period (its machine was busy, or it was suspended) ended with a closed connection for each open request.

cause: the time of the final answers and the forced end are two timers, 0.2 s apart. After a stall both have expired, in any order. A stall that lasts beyond the grace period still cuts requests off.

--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -451,8 +451,11 @@
             if (relay)
                 relay->stopAccepting();
         }
-        if (elapsed >= settings.gracePeriod - kFinalAnswerLeadTime)
+        if (elapsed >= settings.gracePeriod - kFinalAnswerLeadTime) {
+            // After a stall of this process the router's timer may expire after this one.
+            dispatch(routing::Tick {});
             refuseIncompleteRequests();
+        }
         const bool idle = elapsed >= kBalancerRemovalDelay && callers.connections() == 0 && (!relay || relay->connections() == 0);
         const bool last = elapsed >= settings.gracePeriod - kForcedStopLeadTime;
         if (idle || last) {
--- a/tests/main/gateway_stop_test.cpp
+++ b/tests/main/gateway_stop_test.cpp
@@ -112,6 +112,13 @@
             process.signal(number);
     }
 
+    void freeze(Micros duration)
+    {
+        signal(SIGSTOP);
+        std::this_thread::sleep_for(duration);
+        signal(SIGCONT);
+    }
+
     // Each request gets one whole answer that is true.
     void checkAnswers()
     {
@@ -205,4 +212,19 @@
     system.checkAnswers();
 }
 
+// Guards against open requests that are cut off if the process does not run shortly before its end.
+BOOST_AUTO_TEST_CASE(RequestsAreAnsweredAfterAStallAtTheEndOfAStop)
+{
+    constexpr std::size_t kGateways = 6;
+    StoppingGateways system { kGateways };
+    system.connect(kGateways);
+    system.signal(SIGTERM);
+    std::this_thread::sleep_for(500ms);
+    for (std::size_t n = 0; n < kGateways; ++n)
+        system.sendAll();
+    std::this_thread::sleep_for(2'000ms);
+    system.freeze(450ms);
+    system.checkAnswers();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
