--- a/tests/storage/memory_file_system.h
+++ b/tests/storage/memory_file_system.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace curranttrail::tests {
 
@@ -22,14 +23,30 @@
 // In-memory disk that distinguishes written from synced bytes and names. It outlives the file systems opened on it.
 class MemoryDisk {
 public:
+    // A modification of a file that its last sync does not cover.
+    struct Change {
+        std::uint64_t offset = 0;
+        std::string bytes;
+        bool truncates = false;
+    };
     struct Node {
         std::string current;
         std::string durable;
+        std::vector<Change> unsynced {};
     };
     using Names = std::map<std::string, std::shared_ptr<Node>>;
+    // A name that was created, renamed or removed since the last sync of the folder.
+    struct NameChange {
+        // Empty for a new file.
+        std::string from;
+        // Empty for a removed file.
+        std::string to;
+        std::shared_ptr<Node> node;
+    };
 
     Names current;
     Names durable;
+    std::vector<NameChange> unsyncedNames;
     bool locked = false;
     // Number of modifying operations until a simulated crash, 0 for no crash.
     std::uint64_t operationsUntilCrash = 0;
@@ -39,21 +56,49 @@
     // Called by each operation that modifies the disk. Returns true if the operation must simulate a crash.
     bool crashDue() { return operationsUntilCrash > 0 && --operationsUntilCrash == 0; }
 
-    // Simulates a power failure: unsynced bytes survive in part and may be corrupted, unsynced names may be lost.
+    // A new file becomes durable with its own sync, together with its name.
+    void syncFile(const std::shared_ptr<Node>& node)
+    {
+        node->durable = node->current;
+        node->unsynced.clear();
+        std::erase_if(unsyncedNames, [&](const NameChange& change) {
+            if (!change.from.empty() || change.node != node)
+                return false;
+            durable[change.to] = node;
+            return true;
+        });
+    }
+
+    void syncFolder()
+    {
+        durable = current;
+        unsyncedNames.clear();
+    }
+
+    // Simulates a power failure: each unsynced write is present, missing or torn, and each unsynced name is kept or lost, independently
+    // of the others. Sometimes all of them are lost.
     void losePower(Random& random)
     {
-        Names kept = random() % 2 == 0 ? durable : current;
-        for (auto& [name, node] : kept) {
-            if (node->current == node->durable)
+        const bool losesAll = random() % 4 == 0;
+        Names kept = durable;
+        for (const NameChange& change : unsyncedNames) {
+            if (losesAll || random() % 2 == 0)
                 continue;
-            const std::string& longer = node->current.size() > node->durable.size() ? node->current : node->durable;
-            const std::size_t commonBytes = std::min(node->current.size(), node->durable.size());
-            std::string bytes = longer.substr(0, commonBytes + random() % (longer.size() - commonBytes + 1));
-            if (bytes.size() > commonBytes && random() % 3 == 0)
-                bytes[commonBytes + random() % (bytes.size() - commonBytes)] ^= static_cast<char>(1 + random() % 255);
-            node->current = node->durable = bytes;
+            if (!change.to.empty())
+                kept[change.to] = change.node;
+            if (!change.from.empty())
+                kept.erase(change.from);
+        }
+        for (auto& [name, node] : kept) {
+            if (!losesAll) {
+                for (const Change& change : node->unsynced)
+                    keepInPart(*node, change, random);
+            }
+            node->current = node->durable;
+            node->unsynced.clear();
         }
         current = durable = kept;
+        unsyncedNames.clear();
         operationsUntilCrash = 0;
         locked = false;
     }
@@ -69,6 +114,7 @@
     {
         current.clear();
         durable.clear();
+        unsyncedNames.clear();
         locked = false;
     }
 
@@ -80,6 +126,26 @@
             names[name] = std::make_shared<Node>(Node { node->durable, node->durable });
         return names;
     }
+
+private:
+    static void keepInPart(Node& node, const Change& change, Random& random)
+    {
+        const std::uint64_t outcome = random() % 3;
+        if (outcome == 0)
+            return;
+        if (change.truncates) {
+            node.durable.resize(change.offset);
+            return;
+        }
+        std::string bytes = outcome == 1 ? change.bytes : change.bytes.substr(0, random() % (change.bytes.size() + 1));
+        if (outcome == 2 && !bytes.empty() && random() % 3 == 0)
+            bytes[random() % bytes.size()] ^= static_cast<char>(1 + random() % 255);
+        if (bytes.empty())
+            return;
+        // A missing write before this one leaves a hole.
+        node.durable.resize(std::max<std::size_t>(node.durable.size(), change.offset + bytes.size()));
+        node.durable.replace(change.offset, bytes.size(), bytes);
+    }
 };
 
 class MemoryFile : public storage::File {
@@ -95,6 +161,8 @@
         const bool crash = m_disk.crashDue();
         if (crash || m_disk.failure != 0)
             bytes = bytes.substr(0, bytes.size() / 2);
+        if (!bytes.empty())
+            m_node->unsynced.push_back({ m_node->current.size(), std::string { bytes }, false });
         m_node->current += bytes;
         if (crash)
             throw SimulatedCrash {};
@@ -107,6 +175,8 @@
             throw SimulatedCrash {};
         if (m_disk.failure != 0)
             return m_disk.failure;
+        if (size != m_node->current.size())
+            m_node->unsynced.push_back({ size, {}, true });
         m_node->current.resize(size);
         return 0;
     }
@@ -117,7 +187,7 @@
             throw SimulatedCrash {};
         if (m_disk.failure != 0)
             return m_disk.failure;
-        m_node->durable = m_node->current;
+        m_disk.syncFile(m_node);
         return 0;
     }
 
@@ -173,8 +243,10 @@
         if (m_disk.crashDue())
             throw SimulatedCrash {};
         std::shared_ptr<MemoryDisk::Node>& node = m_disk.current[name];
-        if (!node)
+        if (!node) {
             node = std::make_shared<MemoryDisk::Node>();
+            m_disk.unsyncedNames.push_back({ {}, name, node });
+        }
         file = std::make_unique<MemoryFile>(m_disk, node);
         return 0;
     }
@@ -186,6 +258,7 @@
         const auto it = m_disk.current.find(from);
         if (it == m_disk.current.end())
             return ENOENT;
+        m_disk.unsyncedNames.push_back({ from, to, it->second });
         m_disk.current[to] = it->second;
         m_disk.current.erase(it);
         return 0;
@@ -195,14 +268,17 @@
     {
         if (m_disk.crashDue())
             throw SimulatedCrash {};
-        return m_disk.current.erase(name) == 1 ? 0 : ENOENT;
+        if (m_disk.current.erase(name) == 0)
+            return ENOENT;
+        m_disk.unsyncedNames.push_back({ name, {}, nullptr });
+        return 0;
     }
 
     storage::ErrorNumber syncFolder() override
     {
         if (m_disk.crashDue())
             throw SimulatedCrash {};
-        m_disk.durable = m_disk.current;
+        m_disk.syncFolder();
         return 0;
     }
 
