Let a replica lead until its removal is committed

Seen by callers: no configuration after the final fault, although three of four control instances kept their disks.

Cause: a change of members takes effect when its entry is appended. A leader that leaves proposes its own removal, and from then on did not count itself a voter. If all end before the removal is on another disk, the leader that left holds the newest log and refuses its vote to the others, but did not ask for votes itself. The others are one short of a majority if another has lost its disk.

Ruled out: granting a vote to a candidate with an older log; the replica may hold an entry that is committed.

Change: a replica stands for election while its removal is not known to be committed. It does not count itself and needs a majority of the voters that remain, as a leader does that removes itself. It commits the removal and steps down.

--- a/control/control_election.cpp
+++ b/control/control_election.cpp
@@ -71,7 +71,7 @@
         return;
     reportMissingLeader();
     m_leader.reset();
-    if (isVoter() && !m_storageFailed && (m_repairId == 0 || m_options.bootstrap))
+    if (mayLead() && !m_storageFailed && (m_repairId == 0 || m_options.bootstrap))
         startElection(true);
     else
         restartElectionTimer();
@@ -80,7 +80,7 @@
 void ControlReducer::restartElectionTimer()
 {
     // A real election always gets the full timeout, so that slow disks can sync the votes.
-    const bool isFirstPreVote = mayHaveSupportedLease() && isVoter() && m_role != Role::Candidate;
+    const bool isFirstPreVote = mayHaveSupportedLease() && mayLead() && m_role != Role::Candidate;
     const Micros minimum = isFirstPreVote ? kMinimumFirstElectionDelay : m_options.minimumElectionTimeout;
     const Micros maximum = isFirstPreVote ? kMaximumFirstElectionDelay : m_options.maximumElectionTimeout;
     boost::random::uniform_int_distribution<Micros::rep> distribution(minimum.count(), maximum.count());
--- a/control/control_reducer.h
+++ b/control/control_reducer.h
@@ -129,6 +129,9 @@
     void compactIfDue();
     const Members& members() const { return m_log.members(); }
     bool isVoter() const { return members().voters.contains(m_options.name); }
+    // True for a voter, and for a replica whose removal is not known to be committed: it may hold the newest log. It then needs the votes
+    // of a majority of the others.
+    bool mayLead() const { return isVoter() || (m_log.membersIndex() > m_commitIndex && m_log.previousMembers().voters.contains(m_options.name)); }
 
     // Elections and repair, in control_election.cpp.
     void checkTimers();
--- a/control/replicated_log.h
+++ b/control/replicated_log.h
@@ -40,6 +40,8 @@
 
     // Returns the members as of the last entry.
     const Members& members() const { return m_history.back().members; }
+    // Returns the members before the last change of members, or the current ones if the log contains no change.
+    const Members& previousMembers() const { return m_history.size() < 2 ? m_history.back().members : m_history[m_history.size() - 2].members; }
     // Returns the index of the entry that set the current members.
     LogIndex membersIndex() const { return m_history.back().index; }
 
