Transfer configuration documents in parts beside the watch requests

cause: A document was one reply to a watch request, which the gateway gave up after 0.6 s (0.95 s for the first) although bytes arrived, to begin again at the next coordinator. A coordinator shares one copy. Earlier builds on either side go on with whole documents. A leader's reply confirms a document only if it is the one held.

--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -99,6 +99,18 @@
     archive(message.leads, message.leader, message.members, message.entryListVersion, message.entryInstances, message.documentVersion, message.document, message.serverListVersion, message.serverChanges, message.servers, message.serverListAge, message.crashVersion, message.crashes);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, DocumentPartRequest& message)
+{
+    archive(message.version, message.offset);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, DocumentPart& message)
+{
+    archive(message.version, message.documentBytes, message.digest, message.offset, message.content);
+}
+
 std::string encodeJoin(const JoinRequest& message) { return detail::encodeValue(message); }
 std::optional<JoinRequest> decodeJoin(std::string_view bytes) { return detail::decodeValue<JoinRequest>(bytes, kMaximumRequestBytes); }
 std::string encodeLeave(const LeaveRequest& message) { return detail::encodeValue(message); }
@@ -115,5 +127,9 @@
 std::optional<WatchRequest> decodeWatch(std::string_view bytes) { return detail::decodeValue<WatchRequest>(bytes, kMaximumRequestBytes); }
 std::string encodeWatchReply(const WatchReply& message) { return detail::encodeValue(message); }
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes) { return detail::decodeValue<WatchReply>(bytes, kMaximumReplyBytes); }
+std::string encodeDocumentPartRequest(const DocumentPartRequest& message) { return detail::encodeValue(message); }
+std::optional<DocumentPartRequest> decodeDocumentPartRequest(std::string_view bytes) { return detail::decodeValue<DocumentPartRequest>(bytes, kMaximumRequestBytes); }
+std::string encodeDocumentPart(const DocumentPart& message) { return detail::encodeValue(message); }
+std::optional<DocumentPart> decodeDocumentPart(std::string_view bytes) { return detail::decodeValue<DocumentPart>(bytes, kMaximumReplyBytes); }
 
 } // namespace curranttrail::control
--- a/control/feed.h
+++ b/control/feed.h
@@ -76,9 +76,14 @@
     bool operator==(const EntryInstance&) const = default;
 };
 
+// Set in the document version of a watch request whose sender fetches the document in parts. The other bits hold the version that it has
+// heard of. To a leader that does not know the bit, the sender holds a newer document than any, so that the leader sends none.
+inline constexpr std::uint64_t kFetchesDocumentBit = 1ull << 63;
+
 // Sent by an entry instance, with the versions that it holds.
 struct WatchRequest {
     EntryInstance instance;
+    // See kFetchesDocumentBit.
     std::uint64_t documentVersion = 0;
     ListVersion serverListVersion;
     ListVersion entryListVersion;
@@ -96,7 +101,7 @@
     ListVersion entryListVersion;
     std::optional<std::vector<EntryInstance>> entryInstances;
     std::uint64_t documentVersion = 0;
-    // Present only if the version is higher than the requester's.
+    // Present only if the version is higher than the requester's, and the requester does not fetch the document in parts.
     std::optional<std::string> document;
     ListVersion serverListVersion;
     // Present if the server list differs from the requester's version: the changes, or the whole list if that version is too
@@ -110,6 +115,25 @@
     std::vector<CrashReport> crashes;
 };
 
+// Asks for a part of a committed document. Any control instance that holds the document replies.
+struct DocumentPartRequest {
+    std::uint64_t version = 0;
+    // Number of bytes that the sender holds of this version.
+    std::uint64_t offset = 0;
+};
+
+using DocumentDigest = std::array<std::uint8_t, 32>;
+
+struct DocumentPart {
+    // The requested version, or that of the sender's newest document if it no longer holds the requested one. 0 if it holds none.
+    std::uint64_t version = 0;
+    std::uint64_t documentBytes = 0;
+    // SHA-256 of the whole document.
+    DocumentDigest digest {};
+    std::uint64_t offset = 0;
+    std::string content;
+};
+
 std::string encodeJoin(const JoinRequest& message);
 std::optional<JoinRequest> decodeJoin(std::string_view bytes);
 std::string encodeLeave(const LeaveRequest& message);
@@ -120,5 +144,9 @@
 std::optional<WatchRequest> decodeWatch(std::string_view bytes);
 std::string encodeWatchReply(const WatchReply& message);
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes);
+std::string encodeDocumentPartRequest(const DocumentPartRequest& message);
+std::optional<DocumentPartRequest> decodeDocumentPartRequest(std::string_view bytes);
+std::string encodeDocumentPart(const DocumentPart& message);
+std::optional<DocumentPart> decodeDocumentPart(std::string_view bytes);
 
 } // namespace curranttrail::control
--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -20,6 +20,8 @@
     constexpr Micros kFirstWatchTimeout { 950'000 };
     constexpr std::chrono::milliseconds kKeepAliveInterval { 1'000 };
     constexpr std::chrono::milliseconds kReceiveTimeout { 1'500 };
+    // A part takes long if a link is narrow and shared. Replies to watch requests show meanwhile that the control instance is alive.
+    constexpr Micros kPartTimeout { 2'000'000 };
     constexpr Micros kFailureRetryDelay { 100'000 };
     // Short, because a control instance without a leader delays its reply already.
     constexpr Micros kNoLeaderRetryDelay { 50'000 };
@@ -80,6 +82,7 @@
     if (!m_handlers.reply || !m_client)
         return;
     m_crashes.fill(m_nextWatch, transport::monotonicNow());
+    m_nextWatch.documentVersion = m_sendsParts ? m_transfer.announced() | control::kFetchesDocumentBit : m_transfer.received();
     m_client->request(static_cast<std::uint16_t>(transport::MessageType::Watch), control::encodeWatch(m_nextWatch), m_following ? kWatchTimeout : kFirstWatchTimeout,
         [this](const transport::RequestResult& result) {
             if (m_handlers.reply)
@@ -130,7 +133,9 @@
     m_outcomes.clear();
     if (!std::exchange(m_following, true))
         m_sink.log(events::kFeedRegained, { { "leader", m_target }, { "version", std::to_string(reply.documentVersion) } });
-    m_nextWatch.documentVersion = std::max(m_nextWatch.documentVersion, reply.documentVersion);
+    m_transfer.announce(reply.documentVersion);
+    if (reply.document)
+        m_transfer.recordReceived(reply.documentVersion);
     if (reply.servers || reply.serverChanges)
         m_nextWatch.serverListVersion = reply.serverListVersion;
     if (reply.entryInstances)
@@ -138,6 +143,38 @@
     std::vector<policy::CrashRecord> crashes = m_crashes.takeReply(reply, transport::monotonicNow());
     m_handlers.reply(std::move(reply), std::move(crashes));
     watch();
+    fetchNextPart();
+}
+
+void ControlFeed::fetchNextPart()
+{
+    if (m_isFetchingPart || !m_sendsParts || !m_client || !m_transfer.isNeeded())
+        return;
+    m_isFetchingPart = true;
+    m_client->request(static_cast<std::uint16_t>(transport::MessageType::FetchDocument), control::encodeDocumentPartRequest(m_transfer.nextRequest()), kPartTimeout,
+        [this](const transport::RequestResult& result) {
+            m_isFetchingPart = false;
+            if (m_handlers.reply)
+                handlePart(result);
+        });
+}
+
+// After a failure the next reply to a watch request continues the transfer.
+void ControlFeed::handlePart(const transport::RequestResult& result)
+{
+    if (result.status != transport::RequestStatus::Answered) {
+        m_sendsParts = false;
+        return;
+    }
+    const std::optional<control::DocumentPart> part = control::decodeDocumentPart(result.body);
+    const control::DocumentTransfer::Result taken = part ? m_transfer.take(*part) : control::DocumentTransfer::Refused { "the reply is malformed" };
+    if (const control::DocumentTransfer::Refused* refused = std::get_if<control::DocumentTransfer::Refused>(&taken)) {
+        m_sink.log(events::kDocumentPartRefused, { { "control", m_target }, { "wanted", std::to_string(m_transfer.announced()) }, { "version", std::to_string(part ? part->version : 0) }, { "reason", std::string { refused->reason } } });
+        return;
+    }
+    if (const control::DocumentTransfer::Document* document = std::get_if<control::DocumentTransfer::Document>(&taken))
+        m_handlers.document(document->content);
+    fetchNextPart();
 }
 
 void ControlFeed::reportLost(std::string_view reason)
@@ -145,7 +182,7 @@
     if (!std::exchange(m_following, false))
         return;
     m_handlers.disconnected();
-    m_sink.log(events::kFeedLost, { { "control", m_target }, { "reason", std::string { reason } }, { "version", std::to_string(m_nextWatch.documentVersion) } });
+    m_sink.log(events::kFeedLost, { { "control", m_target }, { "reason", std::string { reason } }, { "version", std::to_string(m_transfer.received()) } });
 }
 
 // One line shows why no control instance served as the leader.
@@ -163,13 +200,14 @@
     std::vector<std::string> outcomes;
     for (const auto& [target, outcome] : m_outcomes)
         outcomes.push_back(fmt::format("{}={}", target, outcome));
-    m_sink.log(events::kNoControlLeader, { { "for_us", fmt::to_string((now - m_leaderlessSince).count()) }, { "tried", fmt::format("{}", fmt::join(outcomes, ",")) }, { "version", fmt::to_string(m_nextWatch.documentVersion) } });
+    m_sink.log(events::kNoControlLeader, { { "for_us", fmt::to_string((now - m_leaderlessSince).count()) }, { "tried", fmt::format("{}", fmt::join(outcomes, ",")) }, { "version", fmt::to_string(m_transfer.received()) } });
 }
 
 void ControlFeed::connectTo(const InstanceName& name)
 {
     m_target = name;
     m_client.reset();
+    m_sendsParts = true;
     if (const std::optional<transport::Endpoint> endpoint = transport::parseEndpoint(name); endpoint && m_handlers.reply)
         m_client = std::make_unique<transport::FrameClient>(m_loop, m_options, endpoint->address, endpoint->port);
 }
--- a/main/control_feed.h
+++ b/main/control_feed.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "control/crash_exchange.h"
+#include "control/document_transfer.h"
 #include "control/feed.h"
 #include "main/group_connection.h"
 #include "transport/event_sink.h"
@@ -22,6 +23,8 @@
     struct Handlers {
         // Called with a leader's reply and the crash records in it.
         std::function<void(control::WatchReply reply, std::vector<policy::CrashRecord> crashes)> reply;
+        // Called with a document that was fetched in parts.
+        std::function<void(std::string content)> document;
         // Called when the watched leader no longer answers.
         std::function<void()> disconnected;
     };
@@ -47,6 +50,8 @@
     void connectTo(const InstanceName& name);
     void connectToNext();
     void watchAfter(Micros delay);
+    void fetchNextPart();
+    void handlePart(const transport::RequestResult& result);
 
     const InstanceName m_name;
     GroupConnection m_groupConnection;
@@ -56,6 +61,10 @@
     // Used only on the loop's thread.
     control::WatchRequest m_nextWatch;
     control::CrashExchange m_crashes;
+    control::DocumentTransfer m_transfer;
+    bool m_isFetchingPart = false;
+    // False if the current control instance does not answer requests for parts, as one of an earlier build. It sends documents whole then.
+    bool m_sendsParts = true;
     std::set<InstanceName> m_members;
     InstanceName m_target;
     bool m_following = false;
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -6,6 +6,7 @@
 #include "main/control_runtime.h"
 #include "main/crash_api.h"
 #include "main/document_api.h"
+#include "main/document_publisher.h"
 #include "main/events.h"
 #include "main/feed_events.h"
 #include "main/feed_publisher.h"
@@ -57,6 +58,7 @@
               [this](const InstanceName& to, const control::PeerMessage& message) { links.sendToPeer(to, message); })
         , memberChangePlanner(std::max<std::size_t>(kMinimumVoters, static_cast<std::size_t>(2 * settings.toleratedDiskLosses + 1)))
         , publisher(links.loop(), runtime, sink)
+        , documentPublisher(links.loop(), runtime)
         , poller(threads, settings.serverList, settings.listCallsPerSecond, sink, [this](routing::ServerList servers, TimePoint fetchStartedAt) { publish(std::move(servers), fetchStartedAt); })
         , api(runtime, sink, settings.http.port)
         , crashApi(runtime, links.loop(), publisher, sink, settings.http.port)
@@ -109,6 +111,7 @@
             checkGroup();
         };
         handlers.watch = [this](control::WatchRequest request, transport::FrameResponder respond) { publisher.watch(std::move(request), std::move(respond)); };
+        handlers.fetchDocument = [this](const control::DocumentPartRequest& request, transport::FrameResponder respond) { documentPublisher.fetch(request, std::move(respond)); };
         runtime.onLeader([this](const control::LeaderChanged& change) {
             publisher.leaderChanged(change);
             // A new leader fetches the server list without waiting for the next tick.
@@ -125,6 +128,7 @@
     {
         links.loop().after(kTickInterval, [this] {
             publisher.tick();
+            documentPublisher.tick();
             checkGroup();
             scheduleTick();
         });
@@ -346,6 +350,7 @@
     // Used only on the event loop's thread.
     control::MemberChangePlanner memberChangePlanner;
     FeedPublisher publisher;
+    DocumentPublisher documentPublisher;
     ServerListPoller poller;
     DocumentApi api;
     CrashApi crashApi;
--- a/main/feed_events.h
+++ b/main/feed_events.h
@@ -26,6 +26,7 @@
     inline constexpr EventDescription kFeedRegained { 1220, "feed_regained", Severity::Information, "A control leader answers; the configuration and the server list are up to date." };
     inline constexpr EventDescription kFeedLost { 1221, "feed_lost", Severity::Warning, "No control leader answers; the last configuration and server list stay in use." };
     inline constexpr EventDescription kNoControlLeader { 1223, "no_control_leader", Severity::Warning, "No control instance has served as the leader for a while. Repeated until one does; says whom this instance tried and what each of them answered." };
+    inline constexpr EventDescription kDocumentPartRefused { 1224, "document_part_refused", Severity::Warning, "A part of a configuration document does not fit what is held of it; it is fetched again." };
     inline constexpr EventDescription kDocumentUnreadable { 1222, "document_unreadable", Severity::Error, "A committed configuration document could not be decoded; the previous one stays active." };
     inline constexpr EventDescription kForeignReplyDropped { 1225, "foreign_reply_dropped", Severity::Warning, "A server sent a reply to another request, such as a late second copy; it was dropped and the reply to this request is awaited." };
     inline constexpr EventDescription kSettingsReloaded { 1230, "settings_reloaded", Severity::Information, "The settings file was reloaded; what can be changed while the process runs is in use from now on." };
@@ -52,6 +53,7 @@
     &events::kFeedRegained,
     &events::kFeedLost,
     &events::kNoControlLeader,
+    &events::kDocumentPartRefused,
     &events::kDocumentUnreadable,
     &events::kForeignReplyDropped,
     &events::kSettingsReloaded,
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -46,8 +46,10 @@
         const control::CommittedDocument& document = reducer.state().document;
         const bool leads = status.role == control::Role::Leader && status.leaseValid;
         const bool withoutLeader = !leads && (!status.leader || status.role == control::Role::Leader);
-        const bool hasNewDocument = leads && document.version > pending.request.documentVersion;
-        control::CommittedDocument replyDocument { document.version, hasNewDocument ? document.content : std::string {} };
+        const std::uint64_t knownVersion = pending.request.documentVersion & ~control::kFetchesDocumentBit;
+        const bool fetchesDocument = (pending.request.documentVersion & control::kFetchesDocumentBit) != 0;
+        const bool hasNewDocument = leads && document.version > knownVersion;
+        control::CommittedDocument replyDocument { document.version, hasNewDocument && !fetchesDocument ? document.content : std::string {} };
         m_loop.post([this, pending, status, replyDocument = std::move(replyDocument), leads, withoutLeader, wait = mayWait && !hasNewDocument]() mutable {
             const bool hasNewServerList = leads && m_history.known() && pending.request.serverListVersion != m_history.version();
             pending.withoutLeader = withoutLeader;
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -357,7 +357,9 @@
         if (reply.document)
             applyDocument(*reply.document);
         isolation.recordLeaderContact(true, transport::monotonicNow());
-        dispatch(routing::ControlContacted {});
+        versionInForce = reply.documentVersion;
+        versionConfirmedAt = transport::monotonicNow();
+        confirmDocument();
         if (reply.entryInstances)
             applyEntryInstances(*reply.entryInstances);
         if (reply.serverChanges)
@@ -369,6 +371,13 @@
         updateReadiness();
     }
 
+    // A document that is newer than the one held may allow what that one does not.
+    void confirmDocument()
+    {
+        if (versionInForce <= router.documentVersion())
+            dispatch(routing::ControlContacted { std::chrono::duration_cast<Micros>(transport::monotonicNow() - versionConfirmedAt) });
+    }
+
     void applyDocument(const std::string& content)
     {
         std::variant<routing::RouteDocument, platform::DecodeError> decoded = platform::decodeRouteDocument(content);
@@ -477,6 +486,13 @@
         handlers.reply = [this](control::WatchReply reply, std::vector<policy::CrashRecord> crashes) {
             asio::post(context, [this, reply = std::move(reply), crashes = std::move(crashes)]() mutable { handleWatchReply(std::move(reply), std::move(crashes)); });
         };
+        handlers.document = [this](std::string content) {
+            asio::post(context, [this, content = std::move(content)] {
+                applyDocument(content);
+                confirmDocument();
+                updateReadiness();
+            });
+        };
         handlers.disconnected = [this] {
             asio::post(context, [this] {
                 isolation.recordLeaderContact(false, transport::monotonicNow());
@@ -512,6 +528,9 @@
     policy::IsolationDetector isolation;
     // True once a server list has been received.
     bool hasServerList = false;
+    // The document version in the last reply of a leader, and the time of that reply.
+    std::uint64_t versionInForce = 0;
+    TimePoint versionConfirmedAt;
     bool stopping = false;
     bool wasReady = false;
     TimePoint stopStartedAt;
--- a/main/group_links.cpp
+++ b/main/group_links.cpp
@@ -131,6 +131,14 @@
             m_handlers.watch(std::move(*request), respond);
         return;
     }
+    if (frame.type == number(MessageType::FetchDocument) && respond) {
+        const std::optional<control::DocumentPartRequest> request = control::decodeDocumentPartRequest(frame.body);
+        if (!request)
+            refuse(frame, "the request for a part of the document is malformed");
+        else if (m_handlers.fetchDocument)
+            m_handlers.fetchDocument(*request, respond);
+        return;
+    }
     if (frame.type == number(MessageType::JoinGroup)) {
         const std::optional<control::JoinRequest> join = control::decodeJoin(frame.body);
         if (!join || join->name != frame.from || !transport::parseEndpoint(join->name))
--- a/main/group_links.h
+++ b/main/group_links.h
@@ -26,6 +26,7 @@
         std::function<void(const InstanceName& name)> join;
         std::function<void(const InstanceName& name, std::function<void(control::LeaveOutcome)> respond)> leave;
         std::function<void(control::WatchRequest request, transport::FrameResponder respond)> watch;
+        std::function<void(const control::DocumentPartRequest& request, transport::FrameResponder respond)> fetchDocument;
     };
 
     // Starts to listen. Throws std::runtime_error if the address cannot be used.
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -147,7 +147,10 @@
 };
 
 // A control leader with a valid lease replied: the route document and the server list that this instance holds are in force.
-struct ControlContacted { };
+struct ControlContacted {
+    // Time since the reply.
+    Micros age { 0 };
+};
 
 // What other instances know of requests under which servers ended.
 struct CrashRecordsReceived {
--- /dev/null
+++ b/tests/main/control_feed_test.cpp
@@ -0,0 +1,119 @@
+#include "main/control_feed.h"
+#include "main/group_links.h"
+#include "transport/control_protocol.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <condition_variable>
+#include <mutex>
+
+using namespace curranttrail;
+
+namespace {
+
+const std::string kKey(40, 'k');
+constexpr std::chrono::seconds kTestTimeout { 15 };
+constexpr Micros kPartDelay { 100'000 };
+
+// A control leader that holds one document. It sends a change of the server list with each reply, and parts only after a delay.
+struct Leader {
+    explicit Leader(bool knowsParts)
+        : sendsParts(knowsParts)
+        , server(loop, groupLinkOptions("leader", kKey, sink), "127.0.0.1", 0, [this](const transport::IncomingFrame& frame, const transport::FrameResponder& respond) { receive(frame, respond); })
+    {
+    }
+
+    void receive(const transport::IncomingFrame& frame, const transport::FrameResponder& respond)
+    {
+        if (frame.type == static_cast<std::uint16_t>(transport::MessageType::Watch)) {
+            const std::optional<control::WatchRequest> request = control::decodeWatch(frame.body);
+            control::WatchReply reply;
+            reply.leads = true;
+            reply.documentVersion = 7;
+            if (request->documentVersion < 7)
+                reply.document = document;
+            reply.serverListVersion = { 1, ++revision };
+            reply.serverChanges.emplace();
+            loop.after(kPartDelay / 4, [respond, body = control::encodeWatchReply(reply)] { respond(body); });
+        } else if (sendsParts && frame.type == static_cast<std::uint16_t>(transport::MessageType::FetchDocument)) {
+            const std::optional<control::DocumentPartRequest> request = control::decodeDocumentPartRequest(frame.body);
+            const control::DocumentPart part = control::documentPart(7, document, control::digestOf(document), request->offset);
+            loop.after(kPartDelay, [respond, body = control::encodeDocumentPart(part)] { respond(body); });
+        }
+    }
+
+    transport::EventSink sink { { .instance = "leader", .output = nullptr } };
+    transport::EventLoop loop;
+    const std::string document = std::string(1'400'000, 'd');
+    const bool sendsParts;
+    std::uint64_t revision = 0;
+    transport::FrameServer server;
+};
+
+// An entry instance that watches the leader.
+struct Watcher {
+    explicit Watcher(const Leader& leader)
+    {
+        GroupConnection group;
+        group.seeds = { { "127.0.0.1", leader.server.port() } };
+        group.groupPort = leader.server.port();
+        group.linkKey = kKey;
+        ControlFeed::Handlers handlers;
+        handlers.reply = [this](const control::WatchReply& reply, const std::vector<policy::CrashRecord>&) {
+            const std::lock_guard lock(mutex);
+            if (document.empty())
+                ++listsBeforeTheDocument;
+            if (reply.document)
+                document = *reply.document;
+            changed.notify_all();
+        };
+        handlers.document = [this](std::string content) {
+            const std::lock_guard lock(mutex);
+            document = std::move(content);
+            changed.notify_all();
+        };
+        handlers.disconnected = [this] { ++disconnections; };
+        feed.emplace(control::EntryInstance { "watcher", "cairo", "" }, group, sink, std::move(handlers));
+    }
+
+    bool waitForDocument()
+    {
+        std::unique_lock lock(mutex);
+        return changed.wait_for(lock, kTestTimeout, [this] { return !document.empty(); });
+    }
+
+    transport::EventSink sink { { .instance = "watcher", .output = nullptr } };
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::string document;
+    int listsBeforeTheDocument = 0;
+    std::atomic<int> disconnections { 0 };
+    std::optional<ControlFeed> feed;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ControlFeeds)
+
+// Guards against changes of the server list that wait behind a large document, and against a connection that is given up while it arrives.
+BOOST_AUTO_TEST_CASE(ServerListsArriveWhileALargeDocumentIsTransferred)
+{
+    Leader leader(true);
+    Watcher watcher(leader);
+    BOOST_TEST(watcher.waitForDocument());
+    BOOST_TEST((watcher.document == leader.document));
+    BOOST_TEST(watcher.listsBeforeTheDocument >= 5);
+    BOOST_TEST(watcher.disconnections == 0);
+}
+
+// Guards against an instance that gets no document from a control instance of an earlier build, which sends documents only as a whole.
+BOOST_AUTO_TEST_CASE(ALeaderThatKnowsNoPartsSendsTheDocumentAsAWhole)
+{
+    Leader leader(false);
+    Watcher watcher(leader);
+    BOOST_TEST(watcher.waitForDocument());
+    BOOST_TEST((watcher.document == leader.document));
+    BOOST_TEST(watcher.disconnections == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/transport/control_protocol.h
+++ b/transport/control_protocol.h
@@ -34,6 +34,8 @@
     Watch = 8,
     // control::LeaveRequest -> control::LeaveReply. Instances that do not know the type do not reply.
     LeaveGroup = 9,
+    // control::DocumentPartRequest -> control::DocumentPart. Instances that do not know the type do not reply.
+    FetchDocument = 10,
 };
 
 struct ReplicaMessage {
