Answer pipelined requests that arrived before a stop

cause: the first reply after SIGTERM carried "Connection: close", and requests that had been read behind it were dropped without an answer, however long they had waited. The product's own interface (transport/http_session.cpp) still closes after the first reply, as HTTP allows.

--- a/transport/raw_http_server.cpp
+++ b/transport/raw_http_server.cpp
@@ -93,7 +93,8 @@
         const std::shared_ptr<Session> session = it->second;
         m_exchanges.erase(it);
         const bool head = session->method == "HEAD";
-        session->closeAfterReply = session->closeAfterReply || m_retiring;
+        // A pipelined request that has arrived is answered before the connection closes.
+        session->closeAfterReply = session->closeAfterReply || (m_retiring && session->unparsedBytes.empty());
         write(session, serializeReply(reply, !head, session->closeAfterReply));
     }
 
--- a/transport/raw_http_server.h
+++ b/transport/raw_http_server.h
@@ -53,7 +53,7 @@
     void setLimits(const RawServerLimits& limits);
     // Replies to a request. Does nothing if the client has disconnected.
     void respond(ExchangeId exchange, const RawReply& reply);
-    // Sets whether connections are closed after their next reply.
+    // Sets whether connections are closed after the replies to the requests that have arrived.
     void retireConnections(bool retire);
     void stopAccepting();
     // Closes the connections that have been without a request for this time. Those whose next request has arrived meanwhile stay.
