Leave time at a stop to settle claims and deliver usage

cause: an entry instance answered its last open queries 0.1 s before the end of stop_limit, and posted the closing usage record and waited for settlements only after that. With a query at a silent server and control instances 0.25 s away, the process ended before they had confirmed either. An unsettled claim blocks its request id until it expires; unconfirmed records are lost, because only this process has them. Found by reading. ruled out: a stop without such a query: UsageIsShippedBeforeAGracefulStopEnds holds before and after. change: open queries end 1.5 s before the end (or after half of stop_limit), and usage is delivered and claims are settled while the last answers are written. measured: test_main/Entry/AStopReportsTheQueriesThatItEnds: stop() returns false after 4 s -> true. With the default stop_limit of 30 s only queries with longer deadlines end sooner than before.

--- a/main/entry_daemon.cpp
+++ b/main/entry_daemon.cpp
@@ -34,11 +34,20 @@
     constexpr Micros kMetricsInterval { 1'000'000 };
     // The instance is not ready if the reducer thread has not run its periodic task for this long.
     constexpr Micros kReducerStallTimeout { 3'000'000 };
-    // Time before the end of a stop at which open queries are answered, so that their answers can be sent.
-    constexpr Micros kFinalAnswerLeadTime { 100'000 };
+    // Time before the end of a stop at which the last open queries are answered. In it their answers are sent, their claims settled and
+    // their usage records delivered, at most as a part of the whole stop.
+    constexpr Micros kReportingTime { 1'500'000 };
+    constexpr int kReportingDivisor = 2;
+    // Time after which an answer that is due has been handed over.
+    constexpr Micros kAnswerMargin { 250'000 };
     // A configuration that is missing for this long after the start is logged.
     constexpr Micros kMissingConfigurationTimeout { 5'000'000 };
 
+    Micros reportingTime(const EntrySettings& settings)
+    {
+        return std::min(kReportingTime, settings.stopTimeout / kReportingDivisor);
+    }
+
     query::EntryOptions reducerOptions(const EntrySettings& settings)
     {
         query::EntryOptions options;
@@ -48,7 +57,7 @@
         options.seed = generateSeed();
         options.distances = settings.distances;
         options.maximumQueries = settings.maximumQueries;
-        options.drainTimeout = std::max(Micros { 0 }, settings.stopTimeout - kFinalAnswerLeadTime);
+        options.drainTimeout = settings.stopTimeout - reportingTime(settings);
         options.fingerprintKey = transport::hmac(transport::readClusterKey(settings.clusterKeyFile), "query fingerprints");
         return options;
     }
@@ -275,19 +284,19 @@
         std::this_thread::sleep_for(settings.drainPause);
         post(query::DrainRequested {});
         const TimePoint deadline = transport::monotonicNow() + settings.stopTimeout;
-        bool complete = waitUntil(deadline, [this] { return drained.load() && queryApi.pending() == 0; });
-        if (!complete)
+        waitUntil(std::min(deadline, deadline - reportingTime(settings) + kAnswerMargin), [this] { return drained.load() && queryApi.pending() == 0; });
+        const bool isAnswered = queryApi.pending() == 0;
+        if (!isAnswered)
             queryApi.refusePending();
+        if (usage)
+            reducers.post([this](TimePoint now) { usage->stop(now); });
         std::promise<void> connectionsClosed;
         // Answers that are still being written get the remaining time, but at least one second.
         const Micros left = std::max(deadline - transport::monotonicNow(), Micros { 1'000'000 });
         server->stop(std::chrono::duration_cast<std::chrono::milliseconds>(left), [&connectionsClosed] { connectionsClosed.set_value(); });
         connectionsClosed.get_future().wait();
-        complete = waitUntil(deadline, [this] { return control.openSettlements() == 0; }) && complete;
-        if (usage) {
-            reducers.post([this](TimePoint now) { usage->stop(now); });
-            complete = waitUntil(deadline, [this] { return usage->stopped(); }) && complete;
-        }
+        const bool isReported = waitUntil(deadline, [this] { return drained.load() && control.openSettlements() == 0 && (!usage || usage->stopped()); });
+        const bool complete = isAnswered && isReported;
         if (!complete)
             sink.log(events::kDrainTimedOut, { { "settlements", std::to_string(control.openSettlements()) } });
         close();
--- a/tests/main/entry_daemon_test.cpp
+++ b/tests/main/entry_daemon_test.cpp
@@ -248,6 +248,30 @@
     BOOST_TEST(nile.subqueriesBilled() == stone.subqueriesBilled());
 }
 
+// Guards against a stop that gives up the outcome of a claim and the last usage records because a query to a silent server took all its time.
+BOOST_FIXTURE_TEST_CASE(AStopReportsTheQueriesThatItEnds, EntryFixture)
+{
+    const std::string usageKey = keyFile + ".usage";
+    std::ofstream(usageKey) << usage::PrivateKey::generate().toPem();
+    EntrySettings withUsage = settings("nile-e1");
+    withUsage.usageKeyFile = usageKey;
+    withUsage.stopTimeout = Micros { 4'000'000 };
+    entry = std::make_unique<EntryDaemon>(withUsage, sink);
+    entry->start();
+    BOOST_REQUIRE(eventually([this] { return statusOf(ask(queryBody("order_check", "0", 5'000, "first"))) == "200"; }));
+    for (const std::shared_ptr<stand_ins::BackendServer>& server : fleet->servers())
+        server->change([](stand_ins::BackendBehaviour& behaviour) { behaviour.serviceTime = Micros { 60'000'000 }; });
+    // As from a distant data centre.
+    for (stand_ins::ControlStandIn* control : { &nile, &stone })
+        control->setDelay(Micros { 250'000 });
+    std::future<std::string> answer = std::async(std::launch::async, [this] { return ask(queryBody("order_check", "1", 9'000, "silent")); });
+    BOOST_REQUIRE(eventually([this] { return nile.claimState("silent") == "held"; }));
+    BOOST_TEST(entry->stop());
+    BOOST_TEST(statusOf(answer.get()) == "504");
+    BOOST_TEST(nile.claimState("silent") == "may_have_run");
+    std::remove(usageKey.c_str());
+}
+
 // Guards against new work for a draining server, even the last one that drains, and against draining servers that are not
 // detected.
 BOOST_FIXTURE_TEST_CASE(ALeavingServerGetsNoNewWork, StartedEntryFixture)
--- a/tests/stand_ins/control_stand_in.cpp
+++ b/tests/stand_ins/control_stand_in.cpp
@@ -40,6 +40,12 @@
     m_leading = leading;
 }
 
+void ControlStandIn::setDelay(Micros delay)
+{
+    const std::lock_guard lock(m_mutex);
+    m_delay = delay;
+}
+
 std::string ControlStandIn::claimState(const std::string& requestId) const
 {
     const std::lock_guard lock(m_mutex);
@@ -81,12 +87,20 @@
             respond(encode(configuration(*request)));
     } else if (frame.type == static_cast<std::uint16_t>(MessageType::SubmitCommand)) {
         if (const auto command = transport::decode<transport::SubmitCommand>(frame.body))
-            respond(transport::encode(run(*command)));
+            respondAfterDelay(respond, transport::encode(run(*command)));
     } else if (frame.type == static_cast<std::uint16_t>(MessageType::ShipUsage)) {
-        respond(acknowledge(frame.body));
+        respondAfterDelay(respond, acknowledge(frame.body));
     }
 }
 
+void ControlStandIn::respondAfterDelay(const transport::FrameResponder& respond, std::string body)
+{
+    if (m_delay.count() == 0)
+        respond(std::move(body));
+    else
+        m_loop.after(m_delay, [respond, body = std::move(body)] { respond(body); });
+}
+
 transport::ConfigurationAnswer ControlStandIn::configuration(const transport::FetchConfiguration& request) const
 {
     const OwnerName& owner = m_configuration.owner;
--- a/tests/stand_ins/control_stand_in.h
+++ b/tests/stand_ins/control_stand_in.h
@@ -22,6 +22,8 @@
     void setClass(const ClassTarget& target);
     // Sets whether the stand-in answers as a leader with a valid lease. Without it, commands are refused.
     void setLeading(bool leading);
+    // Sets the time that the stand-in takes for each command and batch of usage records.
+    void setDelay(Micros delay);
     // Returns the settled outcome of a claim, "held" if it is not settled, or "none" if there is no claim.
     std::string claimState(const std::string& requestId) const;
 
@@ -35,6 +37,7 @@
     };
 
     void answer(const transport::IncomingFrame& frame, const transport::FrameResponder& respond);
+    void respondAfterDelay(const transport::FrameResponder& respond, std::string body);
     transport::ConfigurationAnswer configuration(const transport::FetchConfiguration& request) const;
     control::CommandResult run(const transport::SubmitCommand& command);
     std::string acknowledge(const std::string& batch);
@@ -42,6 +45,7 @@
     mutable std::mutex m_mutex;
     OwnerConfiguration m_configuration;
     bool m_leading = true;
+    Micros m_delay { 0 };
     std::map<std::string, Claim> m_claims;
     std::map<std::pair<usage::ChainId, std::uint64_t>, usage::BillableUnits> m_records;
     transport::EventLoop m_loop;
