Ask a leader that is being removed whether it leads

Seen in a world: two leaders with valid leases. A caller may read an older configuration from the first one for up to a lease.

Cause: a vote of a replica that has just started counts only if every voter states that it does not lead, since the voter may have supported a lease before its restart. A leader that leaves is no voter by the entry with its removal, but it leads until that entry is committed. If the others restart with that entry and cannot reach it, they did not ask it, and elected another one at once.

Change: while a change of members is not known to be committed, a candidate also asks the voters before it, and such votes count only if those state that they do not lead. If one does not answer, the election waits until the earlier lease has ended, as it does for a voter that does not answer.

--- a/control/control_election.cpp
+++ b/control/control_election.cpp
@@ -108,7 +108,7 @@
         log(kElectionStarted, { { "term", fmt::to_string(m_term) }, { "last_index", fmt::to_string(m_log.lastIndex()) } });
     }
     VoteRequest request { preVote ? m_term + 1 : m_term, preVote, m_log.lastIndex(), m_log.lastTerm() };
-    for (const InstanceName& voter : members().voters) {
+    for (const InstanceName& voter : possibleLeaders()) {
         if (voter == m_options.name)
             continue;
         const auto start = m_voterStartIds.find(voter);
@@ -181,12 +181,21 @@
     return hasRecentLeader() || (!request.preVote && mayHaveSupportedLease() && request.receiverStart != m_options.seed);
 }
 
+std::set<InstanceName> ControlReducer::possibleLeaders() const
+{
+    std::set<InstanceName> names = members().voters;
+    if (m_log.membersIndex() > m_commitIndex)
+        names.insert(m_log.previousMembers().voters.begin(), m_log.previousMembers().voters.end());
+    return names;
+}
+
 // True if every other voter stated in this election that it does not lead. Any lease that this replica or another voter
 // supported before a restart has then ended: its holder is a voter, and a later leader needs new support, which a voter does
 // not give between its statement and its vote.
 bool ControlReducer::noOtherVoterLeads() const
 {
-    return std::all_of(members().voters.begin(), members().voters.end(), [this](const InstanceName& voter) { return voter == m_options.name || m_nonLeaders.contains(voter); });
+    const std::set<InstanceName> names = possibleLeaders();
+    return std::all_of(names.begin(), names.end(), [this](const InstanceName& name) { return name == m_options.name || m_nonLeaders.contains(name); });
 }
 
 bool ControlReducer::canGrantVote(const InstanceName& from, const VoteRequest& request) const
--- a/control/control_reducer.h
+++ b/control/control_reducer.h
@@ -150,6 +150,8 @@
     bool hasRecentLeader() const;
     bool mayHaveSupportedLease() const;
     bool isVoteBlockedByLease(const VoteRequest& request) const;
+    // Voters, and a voter whose removal is not known to be committed, since it may lead meanwhile.
+    std::set<InstanceName> possibleLeaders() const;
     bool noOtherVoterLeads() const;
     // Time since the last contact with a leader, or since the start if there was none. Zero at a leader.
     Micros timeWithoutLeader(TimePoint now) const;
--- a/tests/control/final_fault_test.cpp
+++ b/tests/control/final_fault_test.cpp
@@ -109,6 +109,29 @@
         return m_simulation.violation();
     }
 
+    // Lets the leader propose its own removal, and the others end and start again at once while its lease is valid. Returns the first
+    // failure, or an empty string.
+    std::string endOthersWhileLeaderLeaves()
+    {
+        if (!m_simulation.runUntil([&] { return m_members.isComplete(); }, 20 * kSecond))
+            return "not all replicas became voters " + m_simulation.violation();
+        startSuccessor();
+        m_simulation.runFor(kCatchUpTime);
+        const std::size_t leader = *m_simulation.leader();
+        m_members.stop(leader);
+        m_simulation.runUntil([&] { return !m_simulation.status(leader).voters.contains(ControlSimulation::nameOf(leader)); }, kSecond);
+        m_simulation.runFor(randomDuration(0, 8'000));
+        for (const std::size_t n : m_running) {
+            if (n == leader)
+                continue;
+            m_simulation.crash(n, false);
+            m_simulation.restart(n);
+        }
+        m_simulation.isolate(leader, true);
+        m_simulation.runFor(kSecond);
+        return m_simulation.violation();
+    }
+
 private:
     static ControlSimulation::Options options(std::uint64_t seed, std::size_t voters)
     {
@@ -322,6 +345,16 @@
 // Guards against a group that can elect no leader because the newest log is at a replica whose removal is not committed yet.
 BOOST_AUTO_TEST_CASE(AGroupSurvivesTheFinalFaultWhileItsLeaderLeaves) { runWorlds(30, 3, 1, { Step::LeaderLeaves }); }
 
+// Guards against a second leader beside one that holds a lease and is about to be removed, when the others restart.
+BOOST_AUTO_TEST_CASE(ALeaderThatLeavesKeepsItsLeaseToItself)
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        FinalFaultWorld world(seed, 3, 1);
+        const std::string problem = world.endOthersWhileLeaderLeaves();
+        BOOST_TEST(problem.empty(), "seed " << seed << ": " << problem);
+    }
+}
+
 // Guards against a group that can elect no leader because it counts a replica that ended without notice once its successor had caught up.
 BOOST_AUTO_TEST_CASE(AGroupOfThreeSurvivesAnEndWithoutNotice) { runWorlds(40, 3, 1, kEndWithoutNotice); }
 BOOST_AUTO_TEST_CASE(LargerGroupsSurviveAnEndWithoutNotice)
