Close the socket of a stand-in client that cannot connect

Cause: the constructor of RawClient threw after a refused connection without closing its socket, since a destructor does not run then.

Ruled out: connections of the link stand-in and of the servers, which `ss -tanp` listed as 109 of 5,999 descriptors.

Conclusion: a fault of the tests only; no program uses the class.

--- a/tests/stand_ins/raw_client.cpp
+++ b/tests/stand_ins/raw_client.cpp
@@ -57,8 +57,10 @@
     sockaddr_in address {};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
-    if (::inet_pton(AF_INET, loopback.c_str(), &address.sin_addr) != 1 || m_socket < 0 || ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0)
+    if (::inet_pton(AF_INET, loopback.c_str(), &address.sin_addr) != 1 || m_socket < 0 || ::connect(m_socket, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+        close();
         throw std::runtime_error("cannot connect");
+    }
 }
 
 RawClient RawClient::adopt(int socket)
