Replace coordinators and end all processes at once in the soak

The soak killed, stopped and wiped one coordinator at a time, never replaced one, and never ended all processes together.

Change: a coordinator is replaced by a process at another address with an empty folder, by plan or after its loss. In a final fault all coordinators and gateways are killed right after an acknowledged change, one data folder is lost, and all return in any order after 0.1 to 3 s. Each run ends with one. Faults of gateways, links and servers now overlap those of coordinators.

--- a/tests/soak/soak_harness.cpp
+++ b/tests/soak/soak_harness.cpp
@@ -7,9 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <csignal>
 #include <filesystem>
-#include <fstream>
 #include <set>
 
 namespace curranttrail::soak {
@@ -21,15 +19,12 @@
 using std::chrono::milliseconds;
 
 namespace {
-    constexpr std::size_t kCoordinators = 3;
+    constexpr std::size_t kCoordinators = CoordinatorGroup::kMembers;
     constexpr std::size_t kShards = 4;
     constexpr std::size_t kTopK = 6;
     // Documented recovery time: requests are served and the configuration can be read within this time after the last fault.
-    constexpr milliseconds kRecoveryTimeout { 15'000 };
-    constexpr milliseconds kDrainGrace { 3'000 };
+    constexpr milliseconds kRecoveryTimeout { 12'000 };
     constexpr int kCallerTimeoutMs = 2'500;
-    constexpr const char* kLinkKey = "a link key of the soak, 32 characters or more";
-    constexpr const char* kLinkModes[] { "hold", "drop", "cut", "delay", "hold_replies", "pass" };
 
     std::string fieldOf(const std::string& response, const std::string& name)
     {
@@ -56,8 +51,8 @@
     std::vector<std::string> addresses;
     for (std::size_t n = 0; n < 2 * (kShards + 1); ++n)
         addresses.push_back(fmt::format("127.0.1.{}", n + 1));
-    for (std::size_t n = 0; n < kCoordinators; ++n)
-        addresses.push_back(fmt::format("127.0.0.{}", 11 + n));
+    for (std::size_t n = 0; n < CoordinatorGroup::kAddresses; ++n)
+        addresses.push_back(CoordinatorGroup::hostAt(n));
     for (std::size_t n = 0; n < m_options.gateways; ++n)
         addresses.push_back(fmt::format("127.0.0.{}", 21 + n));
     m_basePort = stand_ins::findFreePorts(addresses);
@@ -77,28 +72,23 @@
     }
     writeLinks();
     m_links = std::make_unique<stand_ins::LinkStandIn>(links);
-    writeSettings();
+    m_coordinators = std::make_unique<CoordinatorGroup>(CoordinatorOptions { m_options.programs, m_options.folder, m_basePort, m_servers.listPort() });
+    for (std::size_t n = 0; n < m_options.gateways; ++n) {
+        const std::string path = fmt::format("{}/gateway-{}", m_options.folder, n);
+        m_gateways.emplace_back(m_options.programs + "/curranttrail-gateway", path + ".toml", path + ".log");
+    }
+    writeSettings(true);
 }
 
 SoakHarness::~SoakHarness() = default;
 
-void SoakHarness::writeSettings()
+void SoakHarness::writeSettings(bool bootstrap)
 {
-    std::string seeds;
-    for (std::size_t n = 0; n < kCoordinators; ++n)
-        seeds += fmt::format("{}\"127.0.0.{}:{}\"", n ? "," : "", 11 + n, m_basePort + 1);
-    const std::string contact = fmt::format("seeds = [{}]\ngroup_port = {}\nlink_key = \"{}\"\n", seeds, m_basePort, kLinkKey);
-    for (std::size_t n = 0; n < kCoordinators; ++n) {
-        const std::string file = fmt::format("{}/coordinator-{}.toml", m_options.folder, n);
-        std::ofstream(file) << fmt::format("name = \"c{0}\"\ndata_centre = \"z{0}\"\ndata_folder = \"{1}/data-{0}\"\nhttp = \"127.0.0.{2}:{3}\"\n[group]\naddress = \"127.0.0.{2}:{4}\"\nbootstrap = true\n{5}[server_list]\naddress = \"127.0.0.1:{6}\"\ncalls_per_second = 50\n",
-            n, m_options.folder, 11 + n, m_basePort + 1, m_basePort, contact, m_servers.listPort());
-        m_coordinators.emplace_back(m_options.programs + "/curranttrail-coordinator", file, fmt::format("{}/coordinator-{}.log", m_options.folder, n));
-    }
+    m_coordinators->writeSettings(bootstrap);
     for (std::size_t n = 0; n < m_options.gateways; ++n) {
-        const std::string file = fmt::format("{}/gateway-{}.toml", m_options.folder, n);
-        std::ofstream(file) << fmt::format("name = \"g{0}\"\ndata_centre = \"z{0}\"\ncallers = \"127.0.0.{1}:{2}\"\nready = \"127.0.0.{1}:{3}\"\ngrace = \"{4}ms\"\n[group]\n{5}[repeats]\nallowance = 100\n",
-            n, 21 + n, m_basePort + 2, m_basePort + 3, kDrainGrace.count(), contact);
-        m_gateways.emplace_back(m_options.programs + "/curranttrail-gateway", file, fmt::format("{}/gateway-{}.log", m_options.folder, n));
+        replaceFile(fmt::format("{}/gateway-{}.toml", m_options.folder, n),
+            fmt::format("name = \"g{0}\"\ndata_centre = \"z{0}\"\ncallers = \"127.0.0.{1}:{2}\"\nready = \"127.0.0.{1}:{3}\"\ngrace = \"{4}ms\"\n[group]\n{5}[repeats]\nallowance = 100\n",
+                n, 21 + n, m_basePort + 2, m_basePort + 3, kDrainGrace.count(), m_coordinators->contact()));
     }
 }
 
@@ -113,8 +103,8 @@
         if (n < shards)
             gather += fmt::format("{}\"shard{}\"", n ? "," : "", n);
     }
-    return fmt::format(R"({{"version":{},"routes":[{{"name":"search","host":"site","pathPrefix":"/search/","kind":"safe","timeoutMs":1000,"sloMs":300,"priority":1,"gather":[{}],"maxAttempts":2,"topK":{},"minCoverage":0.5}},{{"name":"book","host":"site","pathPrefix":"/book/","kind":"unsafe","timeoutMs":1500,"sloMs":300,"priority":2,"service":"orders","maxAttempts":2}}],"services":[{}]}})",
-        version, gather, kTopK, services);
+    return fmt::format(R"({{"version":{},"routes":[{{"name":"search","host":"site","pathPrefix":"/search/","kind":"safe","timeoutMs":1000,"sloMs":300,"priority":1,"gather":[{}],"maxAttempts":2,"topK":{},"minCoverage":0.5}},{{"name":"book","host":"site","pathPrefix":"/book/","kind":"unsafe","timeoutMs":1500,"sloMs":300,"priority":2,"service":"orders","maxAttempts":2}},{{"name":"version","host":"site","pathPrefix":"/version-{}/","kind":"safe","timeoutMs":1000,"sloMs":300,"priority":2,"service":"orders","maxAttempts":2}}],"services":[{}]}})",
+        version, gather, kTopK, version, services);
 }
 
 void SoakHarness::addViolation(std::string text)
@@ -127,7 +117,7 @@
 std::string SoakHarness::sendConfigurationRequest(std::size_t coordinator, const std::string& method, const std::string& body) const
 {
     try {
-        RawClient client(fmt::format("127.0.0.{}", 11 + coordinator), static_cast<std::uint16_t>(m_basePort + 1));
+        RawClient client(m_coordinators->hostOf(coordinator), static_cast<std::uint16_t>(m_basePort + 1));
         client.send(fmt::format("{} /curranttrail/config HTTP/1.1\r\nHost: c\r\nContent-Length: {}\r\n\r\n{}", method, body.size(), body));
         return client.readMessage(1'000);
     } catch (const std::exception&) {
@@ -220,6 +210,8 @@
 {
     Random random(seed);
     for (std::uint64_t version = 2; !m_stopping; version += 1 + random() % 3) {
+        while (m_operatorPaused && !m_stopping)
+            std::this_thread::sleep_for(milliseconds { 10 });
         const std::string body = makeDocument(version);
         for (int tries = 0; tries < 20 && !m_stopping; ++tries) {
             if (statusOf(sendConfigurationRequest(random() % kCoordinators, "PUT", body)) == "200") {
@@ -243,70 +235,10 @@
 
 void SoakHarness::writeLinks()
 {
-    const std::string file = m_options.folder + "/links";
-    std::ofstream out(file + ".new");
+    std::string text;
     for (std::size_t n = 0; n < m_linkModes.size(); ++n)
-        out << fmt::format("s{} {}\n", n, m_linkModes[n]);
-    out.close();
-    std::filesystem::rename(file + ".new", file);
-}
-
-void SoakHarness::injectFault()
-{
-    static constexpr const char* kFaultKinds[] { "kill_coordinator", "freeze_coordinator", "stop_coordinator", "wipe_coordinator", "kill_gateway", "freeze_gateway", "stop_gateway", "reload", "link", "server" };
-    const std::string kind = kFaultKinds[randomBelow(std::size(kFaultKinds))];
-    ++m_faults[kind];
-    ChildProcess& coordinator = m_coordinators[randomBelow(kCoordinators)];
-    ChildProcess& gateway = m_gateways[randomBelow(m_gateways.size())];
-    const auto freeze = [this](ChildProcess& process) {
-        process.signal(SIGSTOP);
-        std::this_thread::sleep_for(milliseconds { 200 + randomBelow(1'500) });
-        process.signal(SIGCONT);
-    };
-    const auto restart = [this](ChildProcess& process, int number) {
-        process.signal(number);
-        if (!process.waitForExit(kDrainGrace + milliseconds { 2'000 }) && number == SIGTERM)
-            addViolation("a process did not exit within the drain grace after SIGTERM");
-        std::this_thread::sleep_for(milliseconds { randomBelow(600) });
-        process.start();
-    };
-    if (kind == "kill_coordinator") {
-        restart(coordinator, SIGKILL);
-    } else if (kind == "freeze_coordinator") {
-        freeze(coordinator);
-    } else if (kind == "stop_coordinator") {
-        restart(coordinator, SIGTERM);
-    } else if (kind == "wipe_coordinator") {
-        // Waits for the repair afterwards, so that at most one data folder is lost at a time.
-        const std::size_t lost = randomBelow(kCoordinators);
-        m_coordinators[lost].signal(SIGKILL);
-        m_coordinators[lost].waitForExit(kDrainGrace);
-        std::filesystem::remove_all(fmt::format("{}/data-{}", m_options.folder, lost));
-        m_coordinators[lost].start();
-        std::this_thread::sleep_for(milliseconds { 3'000 });
-    } else if (kind == "kill_gateway") {
-        restart(gateway, SIGKILL);
-    } else if (kind == "freeze_gateway") {
-        freeze(gateway);
-    } else if (kind == "stop_gateway") {
-        restart(gateway, SIGTERM);
-    } else if (kind == "reload") {
-        coordinator.signal(SIGHUP);
-        gateway.signal(SIGHUP);
-    } else if (kind == "link") {
-        setLink(randomBelow(m_linkModes.size()), kLinkModes[randomBelow(std::size(kLinkModes))]);
-    } else {
-        stand_ins::ServerBehaviour behaviour;
-        behaviour.serviceTime = Micros { static_cast<std::int64_t>(1'000 + randomBelow(60'000)) };
-        behaviour.rejectedPercent = static_cast<unsigned>(randomBelow(3) * 15);
-        behaviour.wrongRequestIdPercent = static_cast<unsigned>(randomBelow(3) * 10);
-        behaviour.abortedPercent = static_cast<unsigned>(randomBelow(2) * 5);
-        behaviour.leaving = randomBelow(6) == 0;
-        const std::size_t server = randomBelow(m_servers.size());
-        m_servers.set(server, behaviour);
-        if (randomBelow(3) == 0)
-            m_servers.restart(server);
-    }
+        text += fmt::format("s{} {}\n", n, m_linkModes[n]);
+    replaceFile(m_options.folder + "/links", text);
 }
 
 void SoakHarness::clearFaults()
@@ -316,17 +248,15 @@
         m_servers.set(n, {});
     }
     writeLinks();
-    for (std::vector<ChildProcess>* group : { &m_coordinators, &m_gateways }) {
-        for (ChildProcess& process : *group) {
-            process.signal(SIGCONT);
-            process.start();
-        }
-    }
+    for (std::size_t n = 0; n < kCoordinators; ++n)
+        m_coordinators->processOf(n).start();
+    for (ChildProcess& process : m_gateways)
+        process.start();
 }
 
 void SoakHarness::startAll()
 {
-    for (ChildProcess& process : m_coordinators)
+    for (ChildProcess& process : m_coordinators->processes())
         process.start();
     for (ChildProcess& process : m_gateways)
         process.start();
@@ -341,48 +271,56 @@
         std::this_thread::sleep_for(milliseconds { 50 });
     }
     // Only the first start bootstraps the group.
-    for (std::size_t n = 0; n < kCoordinators; ++n) {
-        const std::string file = fmt::format("{}/coordinator-{}.toml", m_options.folder, n);
-        std::ifstream in(file);
-        std::string text { std::istreambuf_iterator<char>(in), {} };
-        text.replace(text.find("bootstrap = true"), 16, "bootstrap = false");
-        std::ofstream(file) << text;
-    }
+    writeSettings(false);
 }
 
-void SoakHarness::checkRecovery()
+// Checks that the last acknowledged version, or a later one, is read back as it was sent, and that all gateways serve by it.
+void SoakHarness::checkRecovery(const std::string& fault)
 {
+    m_operatorPaused = true;
     const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + kRecoveryTimeout;
     std::set<std::size_t> serving;
-    bool isReadBack = false;
-    for (int n = 0; std::chrono::steady_clock::now() < deadline && (serving.size() < m_gateways.size() || !isReadBack); ++n) {
-        for (std::size_t gateway = 0; gateway < m_gateways.size(); ++gateway) {
-            const std::string id = fmt::format("end-{}-{}", gateway, n);
-            const std::string response = sendRequest(gateway, "/search/x", id);
+    std::uint64_t readBack = 0;
+    for (int n = 0; std::chrono::steady_clock::now() < deadline && serving.size() < m_gateways.size(); ++n) {
+        for (std::size_t member = 0; member < kCoordinators; ++member) {
+            const std::string response = sendConfigurationRequest(member, "GET", "");
             if (statusOf(response) != "200")
                 continue;
+            readBack = versionOf(bodyOf(response));
+            if (bodyOf(response) != makeDocument(readBack))
+                addViolation(fmt::format("version {} differs from what was sent after {}", readBack, fault));
+        }
+        for (std::size_t gateway = 0; gateway < m_gateways.size() && readBack >= m_acceptedVersion; ++gateway) {
+            const std::string id = fmt::format("recovery-{}-{}", m_recoveries, n * m_gateways.size() + gateway);
+            const std::string response = sendRequest(gateway, "/search/x", id);
+            if (statusOf(response) != "200" || statusOf(sendRequest(gateway, fmt::format("/version-{}/x", readBack), id + "-version")) != "200")
+                continue;
             checkMerged(response, id);
             serving.insert(gateway);
         }
-        for (std::size_t coordinator = 0; coordinator < kCoordinators; ++coordinator) {
-            const std::string response = sendConfigurationRequest(coordinator, "GET", "");
-            isReadBack = isReadBack || (statusOf(response) == "200" && versionOf(bodyOf(response)) >= m_acceptedVersion);
-        }
         std::this_thread::sleep_for(milliseconds { 100 });
     }
-    if (serving.size() < m_gateways.size())
-        addViolation(fmt::format("only {} of {} gateways serve after the last fault", serving.size(), m_gateways.size()));
-    if (!isReadBack)
-        addViolation(fmt::format("version {} cannot be read back after the last fault", m_acceptedVersion.load()));
+    ++m_recoveries;
+    if (readBack < m_acceptedVersion)
+        addViolation(fmt::format("version {} cannot be read back after {}, the last one read is {}", m_acceptedVersion.load(), fault, readBack));
+    else if (serving.size() < m_gateways.size())
+        addViolation(fmt::format("only {} of {} gateways serve by version {} after {}", serving.size(), m_gateways.size(), readBack, fault));
+    m_operatorPaused = false;
+}
+
+void SoakHarness::checkEnd()
+{
+    checkRecovery("the end");
     for (const std::string& id : m_refusedAsNotRun) {
         if (m_servers.runsOf(id) > 0)
             addViolation(id + ": refused as not run, but a server ran it");
     }
     if (m_servers.maximumRuns("book-") > 1)
         addViolation("a non-repeatable request ran more than once");
-    for (std::vector<ChildProcess>* group : { &m_coordinators, &m_gateways }) {
+    for (std::vector<ChildProcess>* group : { &m_coordinators->processes(), &m_gateways }) {
         for (ChildProcess& process : *group) {
-            if (!process.unexpectedExit().empty() || !process.isRunning())
+            const bool isRetired = group != &m_gateways && !m_coordinators->isMember(process);
+            if (!process.unexpectedExit().empty() || (!process.isRunning() && !isRetired))
                 addViolation("a process exited unexpectedly: " + process.unexpectedExit());
         }
     }
@@ -398,15 +336,23 @@
     }
     threads.emplace_back([this, seed = m_random()] { runOperator(seed); });
     const std::chrono::steady_clock::time_point until = std::chrono::steady_clock::now() + m_options.duration;
+    std::thread gatewayFaults([this, until, random = Random(m_random())]() mutable {
+        while (std::chrono::steady_clock::now() < until) {
+            injectGatewayFault(random);
+            std::this_thread::sleep_for(milliseconds { random() % 700 });
+        }
+    });
     while (std::chrono::steady_clock::now() < until) {
-        injectFault();
+        injectCoordinatorFault();
         std::this_thread::sleep_for(milliseconds { randomBelow(700) });
     }
-    clearFaults();
+    gatewayFaults.join();
+    countFault("final_fault");
+    injectFinalFault();
     m_stopping = true;
     for (std::thread& thread : threads)
         thread.join();
-    checkRecovery();
+    checkEnd();
     SoakResult result { m_violations, m_requests, m_served, m_acceptedVersion, {} };
     for (const auto& [kind, count] : m_faults)
         result.faults += fmt::format("{}{}={}", result.faults.empty() ? "" : " ", kind, count);
--- a/tests/soak/soak_harness.h
+++ b/tests/soak/soak_harness.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/random.h"
+#include "tests/soak/soak_coordinators.h"
 #include "tests/soak/soak_processes.h"
 #include "tests/stand_ins/link_stand_in.h"
 #include "tests/stand_ins/stamped_servers.h"
@@ -16,12 +17,16 @@
 
 namespace curranttrail::soak {
 
+constexpr std::chrono::milliseconds kDrainGrace { 3'000 };
+
 struct SoakOptions {
     std::string programs;
     std::string folder;
     std::uint64_t seed = 1;
     std::size_t gateways = 3;
     std::chrono::milliseconds duration { 12'000 };
+    // Also ends a replaced coordinator without notice after its successor has caught up.
+    bool withoutNotice = false;
 };
 
 struct SoakResult {
@@ -44,16 +49,23 @@
     SoakResult run();
 
 private:
-    void writeSettings();
+    void writeSettings(bool bootstrap);
     void startAll();
-    void injectFault();
+    void countFault(const std::string& kind);
+    void freeze(ChildProcess& process, Random& random);
+    void restart(ChildProcess& process, int number, Random& random);
+    void injectCoordinatorFault();
+    void injectGatewayFault(Random& random);
+    void replaceCoordinator(std::size_t member);
+    void injectFinalFault();
     void clearFaults();
     void setLink(std::size_t server, const std::string& mode);
     void writeLinks();
     void runCaller(std::size_t gateway, std::uint64_t seed);
     void runOperator(std::uint64_t seed);
     void checkMerged(const std::string& response, const std::string& id);
-    void checkRecovery();
+    void checkRecovery(const std::string& fault);
+    void checkEnd();
     std::string makeDocument(std::uint64_t version) const;
     std::string sendConfigurationRequest(std::size_t coordinator, const std::string& method, const std::string& body) const;
     std::string sendRequest(std::size_t gateway, const std::string& path, const std::string& id) const;
@@ -66,9 +78,15 @@
     stand_ins::StampedServers m_servers;
     std::vector<std::string> m_linkModes;
     std::unique_ptr<stand_ins::LinkStandIn> m_links;
-    std::vector<ChildProcess> m_coordinators;
+    std::unique_ptr<CoordinatorGroup> m_coordinators;
     std::vector<ChildProcess> m_gateways;
+    // Held during a fault of a gateway, a link or a server, and while all processes restart.
+    std::mutex m_gatewayFaultMutex;
+    // Until then a coordinator counts as lost, and no other may be replaced or lose its data folder.
+    std::chrono::steady_clock::time_point m_caughtUpAt;
+    unsigned m_recoveries = 0;
     std::atomic<bool> m_stopping { false };
+    std::atomic<bool> m_operatorPaused { false };
     std::atomic<std::uint64_t> m_requests { 0 };
     std::atomic<std::uint64_t> m_served { 0 };
     // Highest document version that a coordinator has acknowledged.
--- a/tests/soak/soak_processes.cpp
+++ b/tests/soak/soak_processes.cpp
@@ -7,6 +7,8 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -106,4 +108,10 @@
     return true;
 }
 
+void replaceFile(const std::string& path, const std::string& text)
+{
+    std::ofstream(path + ".new") << text;
+    std::filesystem::rename(path + ".new", path);
+}
+
 } // namespace curranttrail::soak
--- a/tests/soak/soak_processes.h
+++ b/tests/soak/soak_processes.h
@@ -39,4 +39,7 @@
     std::string m_unexpectedExit;
 };
 
+// Replaces a file at once, so that a process that starts meanwhile reads the old or the new text.
+void replaceFile(const std::string& path, const std::string& text);
+
 } // namespace curranttrail::soak
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -1,17 +1,23 @@
 #!/usr/bin/env bash
 # Soak test: runs the real programs as separate processes on loopback under external faults. Ends with "N passed, N failed".
-# Usage: soak.sh [--seeds N] [--first SEED] [--minutes M]; with --minutes, random seeds run until the time is over.
+# Usage: soak.sh [--seeds N] [--first SEED] [--minutes M] [--without-notice]; with --minutes, random seeds run until the time is over.
 # Seeds in tools/soak-seeds.txt have failed before and run first, unless --first is given.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 seeds=3
 first=""
 minutes=0
+options=()
 while [ "$#" -gt 0 ]; do
     case "$1" in
     --seeds) seeds="$2" ;;
     --first) first="$2" ;;
     --minutes) minutes="$2" ;;
+    --without-notice)
+        options=(--without-notice)
+        shift
+        continue
+        ;;
     *) echo "unknown option $1" >&2; exit 2 ;;
     esac
     shift 2
@@ -21,7 +27,7 @@
 failed=0
 run() {
     local line
-    ./build/release/soak --programs build/release --folder build/soak --first "$1" --seeds "$2" --seconds "${3:-10}" | tee build/soak.log
+    ./build/release/soak --programs build/release --folder build/soak --first "$1" --seeds "$2" --seconds "${3:-10}" "${options[@]}" | tee build/soak.log
     line="$(grep -E '^[0-9]+ passed, [0-9]+ failed$' build/soak.log | tail -1)"
     if [ -z "$line" ]; then
         failed=$((failed + 1))
--- a/tools/soak_main.cpp
+++ b/tools/soak_main.cpp
@@ -18,6 +18,7 @@
     TCLAP::ValueArg<std::uint32_t> seeds("", "seeds", "The number of seeds.", false, 1, "N", line);
     TCLAP::ValueArg<std::uint32_t> gateways("", "gateways", "Number of gateways of each run.", false, 3, "N", line);
     TCLAP::ValueArg<std::uint32_t> seconds("", "seconds", "Duration of the fault injection for each seed, in seconds.", false, 12, "N", line);
+    TCLAP::SwitchArg withoutNotice("", "without-notice", "Also end replaced coordinators without notice, see KNOWN-RED.txt.", line);
     line.parse(argc, argv);
     std::signal(SIGPIPE, SIG_IGN);
     unsigned passed = 0;
@@ -28,6 +29,7 @@
         options.folder = fmt::format("{}/seed-{}", folder.getValue(), seed);
         options.seed = seed;
         options.gateways = gateways.getValue();
+        options.withoutNotice = withoutNotice.getValue();
         options.duration = std::chrono::seconds { seconds.getValue() };
         soak::SoakHarness harness(options);
         const soak::SoakResult result = harness.run();
