Name leaving servers to gateways while the control group has no leader

Cause: only a leader with a valid lease fetched the platform's list, and gateways took it only from a leader. A group that elects none for good names no leaving server, and gateways that kept their list go on using it.

Ruled out in the code as other ways to the line: an older list of a new leader (epochs, and lists are fetched in the own term), a gateway that restarts (not ready before a leader's list), queued, hedged and repeated attempts (withdrawn with the server), kept connections (closed when idle or after their reply), reused addresses (the expected instance is named).

Change: a control instance that has known no leader for 1.5 s fetches the list each second with an equal share of the call rate (control/server_list_schedule) and names the leaving servers in its replies to watch requests. Gateways withdraw these. Nothing else is taken from such a list, since it may be older than a leader's, and the next leader sends its whole list.

--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -96,7 +96,7 @@
 template <typename Archive>
 void serialize(Archive& archive, WatchReply& message)
 {
-    archive(message.leads, message.leader, message.members, message.entryListVersion, message.entryInstances, message.documentVersion, message.document, message.serverListVersion, message.serverChanges, message.servers, message.serverListAge, message.crashVersion, message.crashes);
+    archive(message.leads, message.leader, message.members, message.entryListVersion, message.entryInstances, message.documentVersion, message.document, message.serverListVersion, message.serverChanges, message.servers, message.serverListAge, message.leavingServers, message.crashVersion, message.crashes);
 }
 
 template <typename Archive>
--- a/control/feed.h
+++ b/control/feed.h
@@ -110,6 +110,9 @@
     std::optional<routing::ServerList> servers;
     // Time since the server list was fetched.
     Micros serverListAge { 0 };
+    // Instance ids of the servers that leave according to a list which the sender fetched because it knows no leader. The list may be
+    // older than one that a leader published, so it says nothing of the other servers.
+    std::vector<std::string> leavingServers;
     // Reports that changed since the requester's version. The version is that of the last one included.
     ListVersion crashVersion;
     std::vector<CrashReport> crashes;
--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -119,6 +119,7 @@
     if (!reply.leads) {
         reportLost("the instance is not the leader");
         reportMissingLeader(reply.leader ? "names_" + *reply.leader : "knows_no_leader");
+        takeLeavingServers(std::move(reply.leavingServers), reply.serverListAge);
         const bool redirect = reply.leader && *reply.leader != m_target && ++m_redirects <= kMaximumRedirects;
         m_loop.post([this, redirect, leader = reply.leader.value_or("")] {
             if (redirect)
@@ -177,6 +178,15 @@
     fetchNextPart();
 }
 
+void ControlFeed::takeLeavingServers(std::vector<std::string> servers, Micros age)
+{
+    if (servers.empty())
+        return;
+    // Changes since the last list would not name a server that is still in use, so the next leader sends its whole list.
+    m_nextWatch.serverListVersion = {};
+    m_handlers.serversLeaving(std::move(servers), age);
+}
+
 void ControlFeed::reportLost(std::string_view reason)
 {
     if (!std::exchange(m_following, false))
--- a/main/control_feed.h
+++ b/main/control_feed.h
@@ -25,6 +25,8 @@
         std::function<void(control::WatchReply reply, std::vector<policy::CrashRecord> crashes)> reply;
         // Called with a document that was fetched in parts.
         std::function<void(std::string content)> document;
+        // Called with the servers that leave according to a control instance that knows no leader.
+        std::function<void(std::vector<std::string> servers, Micros age)> serversLeaving;
         // Called when the watched leader no longer answers.
         std::function<void()> disconnected;
     };
@@ -45,6 +47,7 @@
     void watch();
     void handleResult(const transport::RequestResult& result);
     void handleReply(control::WatchReply reply);
+    void takeLeavingServers(std::vector<std::string> servers, Micros age);
     void reportLost(std::string_view reason);
     void reportMissingLeader(std::string_view reason);
     void connectTo(const InstanceName& name);
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -1,6 +1,7 @@
 #include "main/coordinator_daemon.h"
 
 #include "control/member_change_planner.h"
+#include "control/server_list_schedule.h"
 #include "control/state_machine.h"
 #include "core/random.h"
 #include "main/control_runtime.h"
@@ -30,7 +31,6 @@
 namespace {
     // Interval of the checks of the group's members, of pending watch requests and for a missing leader.
     constexpr Micros kTickInterval { 100'000 };
-    constexpr Micros kServerListInterval { 1'000'000 };
     constexpr Micros kJoinInterval { 1'000'000 };
     // Times for a group that spans data centres and runs on small shares of a processor.
     constexpr Micros kHeartbeatInterval { 100'000 };
@@ -151,6 +151,7 @@
     void manageGroup(const control::ReplicaStatus& status, const control::GroupStatus& groupStatus)
     {
         const TimePoint now = transport::monotonicNow();
+        fetchServers(status, now);
         if (isLeaving())
             continueLeaving(status, now);
         if (status.role != control::Role::Leader) {
@@ -165,10 +166,6 @@
         if (!status.leaseValid)
             return;
         answerLeaves(groupStatus);
-        if (now - lastPoll >= kServerListInterval) {
-            lastPoll = now;
-            poller.poll();
-        }
         if (isMemberChangePending)
             return;
         const std::optional<control::ChangeMembers> change = memberChangePlanner.nextChange(groupStatus, now);
@@ -184,6 +181,18 @@
         });
     }
 
+    void fetchServers(const control::ReplicaStatus& status, TimePoint now)
+    {
+        const std::size_t sharers = std::max(status.voters.size() + status.learners.size(), seeds.size());
+        const std::optional<control::ServerListSchedule::Fetch> fetch = listSchedule.next(status, sharers, now);
+        if (!fetch)
+            return;
+        if (fetch->withoutLeader != std::exchange(fetchesWithoutLeader, fetch->withoutLeader) && fetch->withoutLeader)
+            sink.log(events::kServerListWithoutLeader, { { "for_us", fmt::to_string(status.timeWithoutLeader.count()) }, { "sharers", fmt::to_string(sharers) } });
+        poller.setSource(serverList, listCallsPerSecond * fetch->rateShare);
+        poller.poll();
+    }
+
     void endMemberChange(bool isAccepted, bool removesSelf)
     {
         isMemberChangePending = false;
@@ -260,7 +269,7 @@
         links.loop().post([this, servers = std::move(servers), fetchStartedAt]() mutable {
             // A list that is too old is fetched again at the next tick.
             if (!publisher.setServers(std::move(servers), fetchStartedAt))
-                lastPoll = {};
+                listSchedule.fetchAtOnce();
         });
     }
 
@@ -308,8 +317,7 @@
             sink.log(events::kServerListMoved, { { "from", serverList.text() }, { "to", changed.serverList.text() }, { "calls_per_second", fmt::to_string(changed.listCallsPerSecond) } });
             serverList = changed.serverList;
             listCallsPerSecond = changed.listCallsPerSecond;
-            poller.setSource(serverList, listCallsPerSecond);
-            lastPoll = {};
+            listSchedule.fetchAtOnce();
         });
     }
 
@@ -358,7 +366,9 @@
     std::vector<transport::Endpoint> seeds;
     transport::Endpoint serverList;
     double listCallsPerSecond = 0;
-    TimePoint lastPoll;
+    control::ServerListSchedule listSchedule;
+    // True if the last fetch of the list was started because no leader was known.
+    bool fetchesWithoutLeader = false;
     TimePoint lastJoin;
     TimePoint lastLeave;
     // Members that wait to hear whether they have left the group.
--- a/main/feed_events.h
+++ b/main/feed_events.h
@@ -23,6 +23,7 @@
     inline constexpr EventDescription kServerListOutdated { 1214, "server_list_outdated", Severity::Information, "A list that was fetched before this instance became the leader is not published, because the last leader may have published a newer one." };
     inline constexpr EventDescription kServerListMoved { 1215, "server_list_moved", Severity::Information, "The settings name another address or call rate for the platform's list; they are used from the next fetch on." };
     inline constexpr EventDescription kRequestReleased { 1216, "request_released", Severity::Information, "An operator let the request with this fingerprint run again; `known` is false if no server had ended under it." };
+    inline constexpr EventDescription kServerListWithoutLeader { 1217, "server_list_without_leader", Severity::Warning, "This instance has known no leader for a while and fetches the server list itself, with its share of the call rate, to name the servers that leave to entry instances." };
     inline constexpr EventDescription kFeedRegained { 1220, "feed_regained", Severity::Information, "A control leader answers; the configuration and the server list are up to date." };
     inline constexpr EventDescription kFeedLost { 1221, "feed_lost", Severity::Warning, "No control leader answers; the last configuration and server list stay in use." };
     inline constexpr EventDescription kNoControlLeader { 1223, "no_control_leader", Severity::Warning, "No control instance has served as the leader for a while. Repeated until one does; says whom this instance tried and what each of them answered." };
@@ -50,6 +51,7 @@
     &events::kServerListChanged,
     &events::kServerListOutdated,
     &events::kRequestReleased,
+    &events::kServerListWithoutLeader,
     &events::kFeedRegained,
     &events::kFeedLost,
     &events::kNoControlLeader,
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -19,6 +19,8 @@
     constexpr Micros kEntryInstanceTimeout { 6'000'000 };
     // Changes of crash records are collected for this time, since many may come from many instances at once.
     constexpr Micros kCrashPublishInterval { 200'000 };
+    // Servers that leave are named without a leader only while the list that names them is fetched anew all the time.
+    constexpr Micros kUnconfirmedListLifetime { 3'000'000 };
 }
 
 FeedPublisher::FeedPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink)
@@ -83,6 +85,12 @@
             reply.servers = m_history.servers();
     }
     reply.serverListAge = std::chrono::duration_cast<Micros>(now - m_serverListTime);
+    if (!reply.leads && !reply.leader && m_history.known() && reply.serverListAge < kUnconfirmedListLifetime) {
+        for (const routing::ServerRecord& record : m_history.servers()) {
+            if (record.leaving)
+                reply.leavingServers.push_back(record.instance);
+        }
+    }
     m_crashes.fill(reply, pending.request.crashVersion, now);
     pending.respond(control::encodeWatchReply(reply));
 }
--- a/main/feed_publisher.h
+++ b/main/feed_publisher.h
@@ -23,7 +23,7 @@
     FeedPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink);
 
     void watch(control::WatchRequest request, transport::FrameResponder respond);
-    // Publishes a complete server list. Returns false if it may be older than a list that another leader has published.
+    // Publishes a complete server list: as the leader all of it, without a leader the servers that leave. Returns false if it may be older than a list that another leader has published.
     bool setServers(routing::ServerList servers, TimePoint fetchStartedAt);
     // Answers all pending watch requests after a document has been committed. May be called from any thread.
     void documentChanged();
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -493,6 +493,9 @@
                 updateReadiness();
             });
         };
+        handlers.serversLeaving = [this](std::vector<std::string> servers, Micros age) {
+            asio::post(context, [this, servers = std::move(servers), age]() mutable { dispatch(routing::ServersLeaving { std::move(servers), age }); });
+        };
         handlers.disconnected = [this] {
             asio::post(context, [this] {
                 isolation.recordLeaderContact(false, transport::monotonicNow());
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -146,6 +146,13 @@
     std::uint64_t revision = 0;
 };
 
+// Servers that leave according to a control instance that knows no leader. They get no new work until a list of a leader is received.
+struct ServersLeaving {
+    std::vector<std::string> instances;
+    // Age of the list that names them.
+    Micros age { 0 };
+};
+
 // A control leader with a valid lease replied: the route document and the server list that this instance holds are in force.
 struct ControlContacted {
     // Time since the reply.
@@ -175,7 +182,7 @@
 struct Tick { };
 
 using Event = std::variant<RequestArrived, CallerDisconnected, ConnectionOpened, ConnectionLost, AttemptReplied, AttemptConnectionLost, RouteDocumentUpdated,
-    ServerListReceived, ServerListDeltaReceived, ControlContacted, CrashRecordsReceived, EntryInstancesChanged, RelaysChanged, StopScheduled, Tick>;
+    ServerListReceived, ServerListDeltaReceived, ServersLeaving, ControlContacted, CrashRecordsReceived, EntryInstancesChanged, RelaysChanged, StopScheduled, Tick>;
 
 // ---- Effects ----
 
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -240,6 +240,11 @@
     applyServerChanges(m_servers.apply(event.changes, event.age, m_now), event.age);
 }
 
+void Router::on(const ServersLeaving& event)
+{
+    applyServerChanges(m_servers.markLeaving(event.instances), event.age);
+}
+
 void Router::applyServerChanges(const ServerTable::Changes& changes, Micros age)
 {
     logNewServers(changes, age);
--- a/routing/router.h
+++ b/routing/router.h
@@ -232,6 +232,7 @@
     void on(const RouteDocumentUpdated& event);
     void on(const ServerListReceived& event);
     void on(const ServerListDeltaReceived& event);
+    void on(const ServersLeaving& event);
     void on(const ControlContacted& event) { m_controlContactAt = m_now - event.age; }
     void on(const CrashRecordsReceived& event);
     void applyServerChanges(const ServerTable::Changes& changes, Micros age);
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -159,6 +159,19 @@
         changes.leaving.push_back(&server);
 }
 
+ServerTable::Changes ServerTable::markLeaving(const std::vector<std::string>& instances)
+{
+    Changes changes;
+    for (const std::string& instance : instances) {
+        Server* server = find(instance);
+        if (!server || !server->acceptsWork())
+            continue;
+        server->record.leaving = true;
+        changes.leaving.push_back(server);
+    }
+    return changes;
+}
+
 bool ServerTable::setInstances(std::vector<InstanceName> instances, TimePoint now)
 {
     const std::uint32_t before = m_shares.instanceCount();
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -137,6 +137,8 @@
     Changes apply(const ServerList& list, Micros age, TimePoint now);
     // Applies the changes since the last list.
     Changes apply(const ServerListDelta& delta, Micros age, TimePoint now);
+    // Withdraws the servers that leave, until a list names them otherwise.
+    Changes markLeaving(const std::vector<std::string>& instances);
     // Sets the known entry instances. Returns whether their number changed.
     bool setInstances(std::vector<InstanceName> instances, TimePoint now);
     // Recomputes how many connections this instance may hold to each server.
