Keep watch replies readable for earlier builds

cause: put the servers that leave into the middle of the reply to a watch request, so that entry and control instances of earlier builds and this one refuse each other's replies: no configuration while machines are replaced one after the other. Found when the change was read for merging. ruled out: not applicable. change: The servers follow the rest of the reply, only if there are any, and only for requesters that set kFetchesDocumentBit, which earlier builds do not. LeaderlessGroups, ControlFeeds and EventCatalogue of test_main pass. conclusion: kept. Processes of both builds side by side were not run.

--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -96,7 +96,7 @@
 template <typename Archive>
 void serialize(Archive& archive, WatchReply& message)
 {
-    archive(message.leads, message.leader, message.members, message.entryListVersion, message.entryInstances, message.documentVersion, message.document, message.serverListVersion, message.serverChanges, message.servers, message.serverListAge, message.leavingServers, message.crashVersion, message.crashes);
+    archive(message.leads, message.leader, message.members, message.entryListVersion, message.entryInstances, message.documentVersion, message.document, message.serverListVersion, message.serverChanges, message.servers, message.serverListAge, message.crashVersion, message.crashes);
 }
 
 template <typename Archive>
@@ -125,8 +125,28 @@
 
 std::string encodeWatch(const WatchRequest& message) { return detail::encodeValue(message); }
 std::optional<WatchRequest> decodeWatch(std::string_view bytes) { return detail::decodeValue<WatchRequest>(bytes, kMaximumRequestBytes); }
-std::string encodeWatchReply(const WatchReply& message) { return detail::encodeValue(message); }
-std::optional<WatchReply> decodeWatchReply(std::string_view bytes) { return detail::decodeValue<WatchReply>(bytes, kMaximumReplyBytes); }
+
+std::string encodeWatchReply(const WatchReply& message)
+{
+    std::string bytes = detail::encodeValue(message);
+    if (!message.leavingServers.empty())
+        bytes += detail::encodeValue(message.leavingServers);
+    return bytes;
+}
+
+std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
+{
+    std::string_view extension;
+    std::optional<WatchReply> reply = detail::decodeValue<WatchReply>(bytes, kMaximumReplyBytes, &extension);
+    if (!reply || extension.empty())
+        return reply;
+    std::optional<std::vector<std::string>> leavingServers = detail::decodeValue<std::vector<std::string>>(extension, kMaximumReplyBytes);
+    if (!leavingServers)
+        return std::nullopt;
+    reply->leavingServers = std::move(*leavingServers);
+    return reply;
+}
+
 std::string encodeDocumentPartRequest(const DocumentPartRequest& message) { return detail::encodeValue(message); }
 std::optional<DocumentPartRequest> decodeDocumentPartRequest(std::string_view bytes) { return detail::decodeValue<DocumentPartRequest>(bytes, kMaximumRequestBytes); }
 std::string encodeDocumentPart(const DocumentPart& message) { return detail::encodeValue(message); }
--- a/control/feed.h
+++ b/control/feed.h
@@ -111,7 +111,8 @@
     // Time since the server list was fetched.
     Micros serverListAge { 0 };
     // Instance ids of the servers that leave according to a list which the sender fetched because it knows no leader. The list may be
-    // older than one that a leader published, so it says nothing of the other servers.
+    // older than one that a leader published, so it says nothing of the other servers. Encoded after the other members, and only sent to
+    // requesters that set kFetchesDocumentBit: earlier builds refuse a reply with more than they know.
     std::vector<std::string> leavingServers;
     // Reports that changed since the requester's version. The version is that of the last one included.
     ListVersion crashVersion;
--- a/control/value_encoding.h
+++ b/control/value_encoding.h
@@ -27,9 +27,10 @@
     return std::move(stream).str();
 }
 
-// Returns std::nullopt unless the bytes are exactly one value of the current format version and within the limit.
+// Returns std::nullopt unless the bytes are one value of the current format version and within the limit. Bytes after the value are an
+// extension if the caller takes one, and an error otherwise.
 template <typename T>
-std::optional<T> decodeValue(std::string_view bytes, std::size_t limit)
+std::optional<T> decodeValue(std::string_view bytes, std::size_t limit, std::string_view* extension = nullptr)
 {
     if (bytes.empty() || bytes.size() > limit || static_cast<std::uint8_t>(bytes.front()) != kFormatVersion)
         return std::nullopt;
@@ -37,8 +38,10 @@
         BoundedInputArchive archive(bytes.substr(1));
         T value;
         archive(value);
-        if (archive.remaining() != 0)
+        if (archive.remaining() != 0 && !extension)
             return std::nullopt;
+        if (extension)
+            *extension = bytes.substr(bytes.size() - archive.remaining());
         return value;
     } catch (const std::exception&) {
         return std::nullopt;
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -85,7 +85,8 @@
             reply.servers = m_history.servers();
     }
     reply.serverListAge = std::chrono::duration_cast<Micros>(now - m_serverListTime);
-    if (!reply.leads && !reply.leader && m_history.known() && reply.serverListAge < kUnconfirmedListLifetime) {
+    const bool knowsLeavingServers = (pending.request.documentVersion & control::kFetchesDocumentBit) != 0;
+    if (knowsLeavingServers && !reply.leads && !reply.leader && m_history.known() && reply.serverListAge < kUnconfirmedListLifetime) {
         for (const routing::ServerRecord& record : m_history.servers()) {
             if (record.leaving)
                 reply.leavingServers.push_back(record.instance);
