Ask earlier builds for whole documents without a long wait

cause: A gateway waited 2 s for the first part of a document before it asked a control instance of an earlier build for the whole, on each connection. So during an upgrade it was ready late after each start and change of leader. A slow part later on made it ask for the whole as well, which brought back the time limit that parts avoid. An instance that sends none is asked for whole documents for 60 s.

--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -22,6 +22,10 @@
     constexpr std::chrono::milliseconds kReceiveTimeout { 1'500 };
     // A part takes long if a link is narrow and shared. Replies to watch requests show meanwhile that the control instance is alive.
     constexpr Micros kPartTimeout { 2'000'000 };
+    // Instances of earlier builds do not answer requests for parts. Until the first part arrives this instance may wait in vain.
+    constexpr Micros kFirstPartTimeout { 600'000 };
+    // An instance that sent no parts may be of a later build after this time.
+    constexpr Micros kPartProbeInterval { 60'000'000 };
     constexpr Micros kFailureRetryDelay { 100'000 };
     // Short, because a control instance without a leader delays its reply already.
     constexpr Micros kNoLeaderRetryDelay { 50'000 };
@@ -134,6 +138,7 @@
     m_outcomes.clear();
     if (!std::exchange(m_following, true))
         m_sink.log(events::kFeedRegained, { { "leader", m_target }, { "version", std::to_string(reply.documentVersion) } });
+    m_isAliveSinceRequest = true;
     m_transfer.announce(reply.documentVersion);
     if (reply.document)
         m_transfer.recordReceived(reply.documentVersion);
@@ -152,7 +157,9 @@
     if (m_isFetchingPart || !m_sendsParts || !m_client || !m_transfer.isNeeded())
         return;
     m_isFetchingPart = true;
-    m_client->request(static_cast<std::uint16_t>(transport::MessageType::FetchDocument), control::encodeDocumentPartRequest(m_transfer.nextRequest()), kPartTimeout,
+    m_partRequestedAt = transport::monotonicNow();
+    m_isAliveSinceRequest = false;
+    m_client->request(static_cast<std::uint16_t>(transport::MessageType::FetchDocument), control::encodeDocumentPartRequest(m_transfer.nextRequest()), m_hasSentPart ? kPartTimeout : kFirstPartTimeout,
         [this](const transport::RequestResult& result) {
             m_isFetchingPart = false;
             if (m_handlers.reply)
@@ -163,10 +170,15 @@
 // After a failure the next reply to a watch request continues the transfer.
 void ControlFeed::handlePart(const transport::RequestResult& result)
 {
+    const TimePoint now = transport::monotonicNow();
     if (result.status != transport::RequestStatus::Answered) {
+        if (m_hasSentPart || !m_isAliveSinceRequest || now - m_partRequestedAt < kFirstPartTimeout)
+            return;
         m_sendsParts = false;
+        m_sendsNoPartsUntil[m_target] = now + kPartProbeInterval;
         return;
     }
+    m_hasSentPart = true;
     const std::optional<control::DocumentPart> part = control::decodeDocumentPart(result.body);
     const control::DocumentTransfer::Result taken = part ? m_transfer.take(*part) : control::DocumentTransfer::Refused { "the reply is malformed" };
     if (const control::DocumentTransfer::Refused* refused = std::get_if<control::DocumentTransfer::Refused>(&taken)) {
@@ -217,7 +229,10 @@
 {
     m_target = name;
     m_client.reset();
-    m_sendsParts = true;
+    const TimePoint now = transport::monotonicNow();
+    std::erase_if(m_sendsNoPartsUntil, [now](const auto& known) { return now >= known.second; });
+    m_sendsParts = !m_sendsNoPartsUntil.contains(name);
+    m_hasSentPart = false;
     if (const std::optional<transport::Endpoint> endpoint = transport::parseEndpoint(name); endpoint && m_handlers.reply)
         m_client = std::make_unique<transport::FrameClient>(m_loop, m_options, endpoint->address, endpoint->port);
 }
--- a/main/control_feed.h
+++ b/main/control_feed.h
@@ -68,6 +68,12 @@
     bool m_isFetchingPart = false;
     // False if the current control instance does not answer requests for parts, as one of an earlier build. It sends documents whole then.
     bool m_sendsParts = true;
+    std::map<InstanceName, TimePoint> m_sendsNoPartsUntil;
+    // True once the current control instance has sent a part.
+    bool m_hasSentPart = false;
+    TimePoint m_partRequestedAt;
+    // True if the current control instance has replied to a watch request since the last request for a part.
+    bool m_isAliveSinceRequest = false;
     std::set<InstanceName> m_members;
     InstanceName m_target;
     bool m_following = false;
--- a/tests/main/control_feed_test.cpp
+++ b/tests/main/control_feed_test.cpp
@@ -106,12 +106,16 @@
     BOOST_TEST(watcher.disconnections == 0);
 }
 
-// Guards against an instance that gets no document from a control instance of an earlier build, which sends documents only as a whole.
+// Guards against an instance that gets no document from a control instance of an earlier build, which sends documents only as a whole, or gets
+// it only after the time for which a part may take.
 BOOST_AUTO_TEST_CASE(ALeaderThatKnowsNoPartsSendsTheDocumentAsAWhole)
 {
+    constexpr std::chrono::milliseconds kLimit { 1'800 };
     Leader leader(false);
+    const std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
     Watcher watcher(leader);
     BOOST_TEST(watcher.waitForDocument());
+    BOOST_TEST((std::chrono::steady_clock::now() - start < kLimit));
     BOOST_TEST((watcher.document == leader.document));
     BOOST_TEST(watcher.disconnections == 0);
 }
