--- a/routing/route_document.h
+++ b/routing/route_document.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -55,6 +56,8 @@
     std::uint32_t priority = 0;
     // Maximum number of servers of a collection that may run one request.
     std::uint32_t maximumAttempts = 1;
+    // True if requests need no key even where the document names client accounts.
+    bool isPublic = false;
     Target target;
 };
 
@@ -62,6 +65,20 @@
     CollectionName name;
     // Maximum number of connections that a server of the collection accepts from all clients together.
     std::uint32_t connectionLimit = 0;
+    // Requests a second that a server takes from all instances together while it is cold; 0 if there is no such limit.
+    double coldRequestsPerSecond = 0;
+};
+
+// A client account, on whose behalf callers send requests.
+struct ClientAccount {
+    std::string name;
+    // Secrets by which callers identify the account. They must not appear in logs, metrics, errors or requests to servers.
+    std::vector<std::string> keys;
+    // Takes precedence over the priority of the route.
+    std::optional<std::uint32_t> priority;
+    // Requests a second over all instances, and how many more may come at once; a rate of 0 is no limit.
+    double requestsPerSecond = 0;
+    double burst = 0;
 };
 
 // Size limits and timeouts for callers' requests.
@@ -77,6 +94,8 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::map<CollectionName, CollectionSpec> collections;
+    // Client accounts by name. Without a value, callers need no keys.
+    std::optional<std::vector<ClientAccount>> accounts;
     CallerLimits limits;
 };
 
