Fail a request whose server answers with a status outside of HTTP

cause: the parser accepts any three digits as a status. A signed reply with 600 or 999 was handed to the caller as the server's failure; one with 000 to 099 was skipped like an interim reply, so that the request waited for another answer until its deadline change: RawHttpClient closes the connection of a reply whose status is not 100 to 599, and its request fails like one that was lost after it was sent: it may have run.

--- a/tests/transport/raw_http_client_test.cpp
+++ b/tests/transport/raw_http_client_test.cpp
@@ -187,6 +187,20 @@
     BOOST_TEST(failsWhileServerSends("", replyText("z", "foreign"), 1u << 20));
 }
 
+// Guards against handing a caller the answer of a server in trouble whose status is none of HTTP, and against waiting for another
+// answer after it: a status below 100 was skipped as an interim reply.
+BOOST_FIXTURE_TEST_CASE(AStatusOutsideOfHttpFailsTheRequest, Fixture)
+{
+    const std::vector<std::string> statuses { "000", "001", "099", "600", "999" };
+    for (std::uint64_t n = 1; n <= statuses.size(); ++n) {
+        RawClient peer = open(n);
+        send(n, "a");
+        peer.send("HTTP/1.1 " + statuses[n - 1] + " Odd\r\nId: a\r\nContent-Length: 4\r\n\r\nbody");
+        BOOST_TEST(runUntil([&] { return failures.contains(n); }, std::chrono::seconds { 2 }), "status " << statuses[n - 1]);
+        BOOST_TEST(replies[n].empty(), "status " << statuses[n - 1]);
+    }
+}
+
 // Guards against many servers that each stay below the limit of one reply and together exceed the memory of the instance. A
 // connection with a short reply is not affected.
 BOOST_FIXTURE_TEST_CASE(IncompleteRepliesOfManyServersStayWithinTheMemoryLimit, Fixture)
--- a/transport/raw_http_client.cpp
+++ b/transport/raw_http_client.cpp
@@ -34,6 +34,12 @@
     constexpr unsigned kMaximumDroppedReplies = 16;
     // A connection is closed if sent bytes stay unacknowledged for this time, which detects unreachable servers.
     constexpr std::chrono::milliseconds kUnacknowledgedTimeout { 3'000 };
+
+    // The parser accepts any three digits.
+    bool isHttpStatus(unsigned status)
+    {
+        return status >= 100 && status < 600;
+    }
 }
 
 class RawHttpClient::Impl : public std::enable_shared_from_this<Impl> {
@@ -293,6 +299,10 @@
                 end(connection, "not an HTTP response: " + ec.message());
                 return false;
             }
+            if (connection->parser->is_header_done() && !isHttpStatus(connection->parser->get().result_int())) {
+                end(connection, "not an HTTP response: status " + std::to_string(connection->parser->get().result_int()));
+                return false;
+            }
             if (!connection->parser->is_done())
                 break;
             // Interim (1xx) responses precede the final reply and are skipped.
