Identify callers by the keys of client accounts

cause: the document names client accounts with keys, but every request was served and any account that a caller named was passed on change: a request needs the key of an account where the document names some and the route is not public, and is refused with 401 otherwise, or with 503 while control has not confirmed the document lately; the account's priority comes before the route's; servers are told the account, and neither a key nor an account that the caller stated; keys are kept as digests, and fingerprints contain the account instead of the key.

--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -54,6 +54,8 @@
     {
         if (refusal.reason == routing::RefusalReason::NoRoute)
             return { 404, "no_route" };
+        if (refusal.reason == routing::RefusalReason::UnknownKey)
+            return { 401, "unknown_key" };
         // Callers repeat a request after a server error or a 503, but not after this status.
         if (refusal.reason == routing::RefusalReason::RequestBlocked)
             return { 400, "request_blocked" };
@@ -180,10 +182,17 @@
     void arrived(ExchangeId exchange, RawRequest request, transport::RawRequestInfo arrival)
     {
         platform::CallerFields caller = platform::decodeCaller(request.fields);
+        const bool hasAccounts = router.hasAccounts();
+        const std::optional<KeyDigest> key = hasAccounts ? platform::keyDigestOf(request.fields) : std::nullopt;
+        // No key goes into what instances share.
+        if (hasAccounts) {
+            const routing::ClientAccount* account = router.findAccount(key);
+            caller.account = account ? account->name : std::string {};
+        }
         const RequestFingerprint fingerprint = hasher.fingerprint({ request.method, caller.host, request.target, caller.account, request.body });
-        routing::RequestArrived event { { exchange.value }, caller.requestId, std::move(caller.host), std::string { request.path() }, caller.timeout, arrival.roundTrip, arrival.firstOnConnection, fingerprint };
+        routing::RequestArrived event { { exchange.value }, caller.requestId, std::move(caller.host), std::string { request.path() }, caller.timeout, arrival.roundTrip, arrival.firstOnConnection, fingerprint, key };
         Exchange& entry = exchanges[exchange.value];
-        entry.forwarded = platform::forwardedFields(request.fields);
+        entry.forwarded = platform::forwardedFields(request.fields, hasAccounts);
         entry.requestId = std::move(caller.requestId);
         entry.request = std::move(request);
         entry.arrivedAt = transport::monotonicNow();
@@ -277,7 +286,7 @@
     {
         const Exchange& exchange = exchanges.at(effect.request.value);
         transport::HttpFields fields = exchange.forwarded;
-        platform::addAttemptFields(fields, effect.remaining, effect.instance);
+        platform::addAttemptFields(fields, effect.remaining, effect.instance, effect.account);
         inFlightAttempts[effect.connection] = { effect.attempt, exchange.requestId };
         client.send(effect.connection, transport::serializeRequest(exchange.request, fields), exchange.request.method != "HEAD");
     }
@@ -316,7 +325,8 @@
         const Refusal refusal = refusalOf(effect);
         RawReply reply;
         reply.status = refusal.status;
-        reply.fields = { { "Content-Type", "application/json" } };
+        reply.fields = effect.reason == RefusalReason::UnknownKey ? platform::keyRequestFields() : transport::HttpFields {};
+        reply.fields.emplace_back("Content-Type", "application/json");
         if (effect.retryAfter) {
             const TimePoint now = transport::monotonicNow();
             const Micros delay = *effect.retryAfter + std::max(isolation.timeUntilRemoved(kBalancerRemovalDelay, now), timeUntilRemoved(now));
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -3,6 +3,7 @@
 #include "core/enum_names.h"
 #include "core/event_log.h"
 #include "core/ids.h"
+#include "core/key_digest.h"
 #include "core/request_fingerprint.h"
 #include "core/units.h"
 #include "policy/crash_table.h"
@@ -97,6 +98,8 @@
     // True if the caller opened its connection for this request, which cost it another round trip.
     bool isNewConnection = false;
     RequestFingerprint fingerprint;
+    // The key that the caller stated, if any.
+    std::optional<KeyDigest> keyDigest {};
 };
 
 // The caller closed its connection before the answer.
@@ -205,6 +208,8 @@
     Micros remaining { 0 };
     // Incarnation that must run the request.
     std::string instance;
+    // Name of the client account on whose behalf the request is made. Empty if there is none.
+    std::string account {};
 };
 
 // Forwards a server's reply unchanged.
@@ -227,6 +232,8 @@
     NoRoute,
     // The document has no route, but control has not confirmed lately that it is the newest.
     DocumentUnconfirmed,
+    // No client account has the caller's key, or the caller stated none.
+    UnknownKey,
     NoServer,
     // The limits that servers name leave this instance too few requests at present.
     ServerLimit,
@@ -241,10 +248,11 @@
     Stopping,
 };
 
-inline constexpr std::array<EnumName<RefusalReason>, 11> kRefusalReasonNames { {
+inline constexpr std::array<EnumName<RefusalReason>, 12> kRefusalReasonNames { {
     { RefusalReason::NotReady, "not_ready" },
     { RefusalReason::NoRoute, "no_route" },
     { RefusalReason::DocumentUnconfirmed, "document_unconfirmed" },
+    { RefusalReason::UnknownKey, "unknown_key" },
     { RefusalReason::NoServer, "no_server" },
     { RefusalReason::ServerLimit, "server_limit" },
     { RefusalReason::Overloaded, "overloaded" },
--- a/routing/route_document.cpp
+++ b/routing/route_document.cpp
@@ -87,6 +87,18 @@
 {
     for (const Route& route : m_document->routes)
         m_hosts[route.host].emplace(route.prefix, &route);
+    if (!m_document->accounts)
+        return;
+    for (const ClientAccount& account : *m_document->accounts) {
+        for (const KeyDigest& key : account.keys)
+            m_accounts.emplace(key, &account);
+    }
+}
+
+const ClientAccount* RouteTable::findAccount(const KeyDigest& key) const
+{
+    const auto it = m_accounts.find(key);
+    return it == m_accounts.end() ? nullptr : it->second;
 }
 
 const Route* RouteTable::find(std::string_view host, std::string_view path) const
--- a/routing/route_document.h
+++ b/routing/route_document.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ids.h"
+#include "core/key_digest.h"
 #include "core/units.h"
 
 #include <cstdint>
@@ -9,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -56,9 +58,9 @@
     std::uint32_t priority = 0;
     // Maximum number of servers of a collection that may run one request.
     std::uint32_t maximumAttempts = 1;
+    Target target;
     // True if requests need no key even where the document names client accounts.
     bool isPublic = false;
-    Target target;
 };
 
 struct CollectionSpec {
@@ -72,8 +74,8 @@
 // A client account, on whose behalf callers send requests.
 struct ClientAccount {
     std::string name;
-    // Secrets by which callers identify the account. They must not appear in logs, metrics, errors or requests to servers.
-    std::vector<std::string> keys;
+    // Digests of the secret keys by which callers identify the account.
+    std::vector<KeyDigest> keys;
     // Takes precedence over the priority of the route.
     std::optional<std::uint32_t> priority;
     // Requests a second over all instances, and how many more may come at once; a rate of 0 is no limit.
@@ -102,19 +104,24 @@
 // Returns the reason why the document is invalid, or an empty string if it is valid.
 std::string invalidReason(const RouteDocument& document);
 
-// Finds the route of a request by its host and the longest matching path prefix.
+// Finds the route of a request by its host and the longest matching path prefix, and the client account by its key.
 class RouteTable {
 public:
     explicit RouteTable(std::shared_ptr<const RouteDocument> document);
 
     // Returns null if no route matches. The port of the host is ignored.
     const Route* find(std::string_view host, std::string_view path) const;
+    // Returns null if no account has the key.
+    const ClientAccount* findAccount(const KeyDigest& key) const;
+    // Returns whether the document names client accounts, so that requests need a key.
+    bool hasAccounts() const { return m_document->accounts.has_value(); }
     const RouteDocument& document() const { return *m_document; }
 
 private:
     std::shared_ptr<const RouteDocument> m_document;
     // Routes by host and prefix.
     std::map<std::string, std::map<std::string, const Route*, std::less<>>, std::less<>> m_hosts;
+    std::unordered_map<KeyDigest, const ClientAccount*> m_accounts;
 };
 
 } // namespace curranttrail::routing
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -69,6 +69,11 @@
     return wakeup;
 }
 
+Micros Router::retryAfterControl()
+{
+    return randomDelay(kMinimumRetryAfterWhenNotReady, kMaximumRetryAfterWhenNotReady);
+}
+
 Micros Router::randomDelay(Micros minimum, Micros maximum)
 {
     boost::random::uniform_int_distribution<Micros::rep> delay(minimum.count(), maximum.count());
@@ -95,7 +100,7 @@
 {
     ++m_counters.arrived;
     if (!m_table) {
-        refuseUnrouted(event, RefusalReason::NotReady, randomDelay(kMinimumRetryAfterWhenNotReady, kMaximumRetryAfterWhenNotReady));
+        refuseUnrouted(event, RefusalReason::NotReady, retryAfterControl());
         return;
     }
     const Route* route = m_table->find(event.host, event.path);
@@ -103,7 +108,12 @@
         if (isDocumentConfirmed())
             refuseUnrouted(event, RefusalReason::NoRoute, std::nullopt);
         else
-            refuseUnrouted(event, RefusalReason::DocumentUnconfirmed, randomDelay(kMinimumRetryAfterWhenNotReady, kMaximumRetryAfterWhenNotReady));
+            refuseUnrouted(event, RefusalReason::DocumentUnconfirmed, retryAfterControl());
+        return;
+    }
+    const Identification caller = identify(event, *route);
+    if (caller.refusal) {
+        refuseUnidentified(event, *caller.refusal);
         return;
     }
     if (!m_crashes.empty() && m_crashes.standing(event.fingerprint) == policy::RequestStanding::Blocked) {
@@ -124,6 +134,8 @@
     request.fingerprint = event.fingerprint;
     request.table = m_table;
     request.route = route;
+    request.account = caller.account;
+    request.priority = priorityOf(*route, caller.account);
     request.profile = &latencyProfileOf(*route);
     request.arrivedAt = m_now;
     // The caller's time includes the network round trip, and another one if it opened the connection for this request.
@@ -139,7 +151,7 @@
     for (CollectionName& collection : collectionsOf(*route)) {
         Part& part = request.parts.emplace_back();
         part.collection = std::move(collection);
-        const Availability availability = m_servers.availability(part.collection, route->priority, m_now);
+        const Availability availability = m_servers.availability(part.collection, request.priority, m_now);
         const bool isOutOfTime = endsBeforeAnswer(part.collection, *request.profile);
         if (availability == Availability::Available && !isOutOfTime)
             continue;
--- a/routing/router.h
+++ b/routing/router.h
@@ -69,6 +69,10 @@
 
     bool hasDocument() const { return m_table != nullptr; }
     std::uint64_t documentVersion() const { return m_table ? m_table->document().version : 0; }
+    // Returns whether requests need the key of a client account.
+    bool hasAccounts() const { return m_table && m_table->hasAccounts(); }
+    // Returns null if no account has the key.
+    const ClientAccount* findAccount(const std::optional<KeyDigest>& key) const { return m_table && key ? m_table->findAccount(*key) : nullptr; }
     std::size_t requestsInFlight() const { return m_requests.size(); }
     const RouterCounters& counters() const { return m_counters; }
     const ServerTable& servers() const { return m_servers; }
@@ -122,6 +126,10 @@
         // Owns the document of the route.
         std::shared_ptr<const RouteTable> table;
         const Route* route = nullptr;
+        // The client account on whose behalf the request is made, if any.
+        const ClientAccount* account = nullptr;
+        // Lower values are more urgent.
+        std::uint32_t priority = 0;
         LatencyProfile* profile = nullptr;
         TimePoint arrivedAt;
         // From this time on, an answer with sufficient coverage does not wait for more parts.
@@ -152,6 +160,12 @@
         bool endsWithProcess = false;
     };
 
+    // On whose behalf a request is made, or why it is refused because of its key.
+    struct Identification {
+        const ClientAccount* account = nullptr;
+        std::optional<RefusalReason> refusal;
+    };
+
     struct Attempt {
         RequestKey request;
         RequestFingerprint fingerprint;
@@ -254,6 +268,11 @@
     std::vector<CollectionName> collectionsOf(const Route& route);
     const CollectionName& chooseSplitCollection(const Route& route, const SplitTarget& split);
 
+    // router_accounts.cpp: client accounts
+    Identification identify(const RequestArrived& event, const Route& route) const;
+    void refuseUnidentified(const RequestArrived& event, RefusalReason reason);
+    static std::uint32_t priorityOf(const Route& route, const ClientAccount* account);
+
     // router_connections.cpp: connections and whether servers can be reached
     void on(const ConnectionOpened& event);
     void on(const ConnectionLost& event);
@@ -363,6 +382,8 @@
     void end(RequestKey key, bool closeAtOnce);
     Verdict verdictOf(const Request& request) const;
     Micros randomRetryAfter();
+    // Returns the Retry-After of a request that this instance cannot judge before control has replied.
+    Micros retryAfterControl();
     // Returns the Retry-After of a routed request that has not run.
     Micros retryAfter(const Request& request, RefusalReason reason);
     Micros randomDelay(Micros minimum, Micros maximum);
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -37,7 +37,7 @@
     estimate.typical = request.profile->durations.weight() >= kMinimumSamples ? request.profile->durations.median() : request.route->latencyObjective / kInitialDurationDivisor;
     estimate.failureCost = request.route->latencyObjective / kFailureCostDivisor;
     estimate.pauseThreshold = request.profile->hedgeDelay.count() > 0 ? request.profile->hedgeDelay : request.route->latencyObjective / 3;
-    estimate.priority = request.route->priority;
+    estimate.priority = request.priority;
     estimate.isSuspect = isSuspect(request);
     Server* server = m_servers.choose(part.collection, part.tried, estimate, m_random, m_now);
     if (server && endsBeforeAnswer(*server, *request.profile)) {
@@ -48,7 +48,7 @@
         } while (server && endsBeforeAnswer(*server, *request.profile));
         request.isOutOfTime = request.isOutOfTime || !server;
     }
-    if (m_counters.limitedServers > 0 && m_servers.recordHeldBack(part.collection, request.route->priority, m_now))
+    if (m_counters.limitedServers > 0 && m_servers.recordHeldBack(part.collection, request.priority, m_now))
         ++m_counters.heldBack;
     if (!server || server->waiting.size() >= kMaximumWaitingPerConnection * std::max(1U, server->connectionQuota))
         return false;
@@ -58,7 +58,7 @@
     attempt.fingerprint = request.fingerprint;
     attempt.part = index;
     attempt.server = server;
-    attempt.priority = request.route->priority;
+    attempt.priority = request.priority;
     attempt.holdsToken = server->rateLimit && server->rateLimit->tryAcquire(attempt.priority, m_now);
     attempt.profile = request.profile;
     part.tried.push_back(server);
@@ -101,7 +101,7 @@
     if (++part.sent == 1)
         budgetOf(part.collection).onFirstAttempt(m_now);
     ++part.mayHaveRun;
-    m_effects.emplace_back(SendAttempt { id, connection, attempt.request, std::max(Micros { 1'000 }, std::chrono::duration_cast<Micros>(request.hardDeadline - m_now)), attempt.server->record.instance });
+    m_effects.emplace_back(SendAttempt { id, connection, attempt.request, std::max(Micros { 1'000 }, std::chrono::duration_cast<Micros>(request.hardDeadline - m_now)), attempt.server->record.instance, request.account ? request.account->name : std::string {} });
 }
 
 void Router::recordServerFailure(Server& server, std::string_view reason)
--- a/routing/router_limits.cpp
+++ b/routing/router_limits.cpp
@@ -95,7 +95,7 @@
 void Router::recordHeldBack(const Request& request)
 {
     for (const Part& part : request.parts) {
-        if (m_servers.recordHeldBack(part.collection, request.route->priority, m_now))
+        if (m_servers.recordHeldBack(part.collection, request.priority, m_now))
             ++m_counters.heldBack;
         m_servers.keepTokens(part.collection, m_now);
     }
@@ -107,7 +107,7 @@
     std::vector<Micros> times;
     times.reserve(request.parts.size());
     for (const Part& part : request.parts)
-        times.push_back(m_servers.timeUntilAvailable(part.collection, request.route->priority, m_now));
+        times.push_back(m_servers.timeUntilAvailable(part.collection, request.priority, m_now));
     std::sort(times.begin(), times.end());
     std::size_t needed = 1;
     while (needed < times.size() && !coversEnough(request, needed))
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -187,7 +187,7 @@
 
 Micros Router::retryAfter(const Request& request, RefusalReason reason)
 {
-    const auto isHeldBack = [&](const Part& part) { return m_servers.availability(part.collection, request.route->priority, m_now) == Availability::LimitReached; };
+    const auto isHeldBack = [&](const Part& part) { return m_servers.availability(part.collection, request.priority, m_now) == Availability::LimitReached; };
     if (reason == RefusalReason::ServerLimit || (reason == RefusalReason::AttemptsFailed && std::any_of(request.parts.begin(), request.parts.end(), isHeldBack)))
         return std::max(retryAfterLimit(request), randomRetryAfter());
     return reason == RefusalReason::Stopping ? retryAfterStop() : randomRetryAfter();
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -127,13 +127,31 @@
     const CallerFields caller = decodeCaller(fields);
     BOOST_TEST(caller.requestId == "id1");
     BOOST_TEST((caller.timeout == Micros { 500'000 }));
-    transport::HttpFields forwarded = forwardedFields(fields);
-    addAttemptFields(forwarded, Micros { 321'900 }, "i1");
+    transport::HttpFields forwarded = forwardedFields(fields, false);
+    addAttemptFields(forwarded, Micros { 321'900 }, "i1", "");
     BOOST_TEST(forwarded.size() == 5u);
     BOOST_TEST(*transport::findField(forwarded, kDeadlineField) == "321");
     BOOST_TEST(*transport::findField(forwarded, kExpectedInstanceField) == "i1");
 }
 
+// Guards against a key that is passed on, an account that the caller chooses, and a key read from another scheme or from one of two fields.
+BOOST_AUTO_TEST_CASE(KeysAreReadAndNotForwarded)
+{
+    const auto digest = [](const std::string& value) { return keyDigestOf({ { "authorization", value } }); };
+    for (const char* value : { "Token k-1", "token   k-1 " })
+        BOOST_TEST((digest(value) == KeyDigest("k-1")));
+    for (const char* value : { "", "Token", "Token ", "Tokenk-1", "Bearer k-1", "k-1" })
+        BOOST_TEST(!digest(value).has_value());
+    BOOST_TEST(!keyDigestOf({ { "Authorization", "Token k-1" }, { "Authorization", "Token k-2" } }).has_value());
+
+    const transport::HttpFields fields { { "Accept", "a" }, { "AUTHORIZATION", "Token k-1" }, { "x-curranttrail-tenant", "forged" }, { "X-Curranttrail-Tenant", "again" } };
+    BOOST_TEST(forwardedFields(fields, false).size() == 4u);
+    transport::HttpFields forwarded = forwardedFields(fields, true);
+    BOOST_TEST(forwarded.size() == 1u);
+    addAttemptFields(forwarded, Micros { 1'000 }, "i1", "counter");
+    BOOST_TEST(*transport::findField(forwarded, kAccountField) == "counter");
+}
+
 // Guards against misparsed load and limit fields, and against a load or a limit decoded from an invalid field.
 BOOST_AUTO_TEST_CASE(ReplyHeadsAreDecoded)
 {
--- a/tools/gateway_bench_main.cpp
+++ b/tools/gateway_bench_main.cpp
@@ -67,11 +67,11 @@
     void query(std::uint64_t number)
     {
         transport::RawRequest request { "GET", "/search/ab12", { { "Host", "example" }, { std::string { platform::kRequestIdField }, "9c41d07be2a35f68" }, { std::string { platform::kDeadlineField }, "600" } }, {} };
-        const transport::HttpFields forwarded = platform::forwardedFields(request.fields);
+        const transport::HttpFields forwarded = platform::forwardedFields(request.fields, false);
         handle(routing::RequestArrived { { number }, "9c41d07be2a35f68", "example", "/search/ab12", Micros { 600'000 } });
         for (const routing::SendAttempt& send : std::exchange(sent, {})) {
             transport::HttpFields fields = forwarded;
-            platform::addAttemptFields(fields, send.remaining, send.instance);
+            platform::addAttemptFields(fields, send.remaining, send.instance, send.account);
             bytes += transport::serializeRequest(request, fields).size();
             transport::RawReply reply { 200, { { std::string { platform::kRequestIdField }, "9c41d07be2a35f68" }, { std::string { platform::kServerStampField }, "3e1b.07.5a2.600.0.c9f2a4d1" }, { std::string { platform::kLoadField }, "1,0,2" }, { "Content-Length", "400" } }, records };
             now += Micros { 200 };
