Refuse documents in which client accounts share a key

cause: a key in two client accounts would stand for the one that is listed first change: routing::invalidReason names both accounts; a key that one account lists twice is allowed measured: not run: no build is available yet; the changed files pass the compiler's syntax check

--- a/routing/route_document.cpp
+++ b/routing/route_document.cpp
@@ -64,6 +64,19 @@
         const Route& m_route;
     };
 
+    std::string sharedKeyReason(const std::vector<ClientAccount>& accounts)
+    {
+        std::unordered_map<KeyDigest, const ClientAccount*> owners;
+        for (const ClientAccount& account : accounts) {
+            for (const KeyDigest& key : account.keys) {
+                const ClientAccount* owner = owners.try_emplace(key, &account).first->second;
+                if (owner != &account)
+                    return fmt::format("the client accounts \"{}\" and \"{}\" share a key", owner->name, account.name);
+            }
+        }
+        return {};
+    }
+
 } // namespace
 
 std::string invalidReason(const RouteDocument& document)
@@ -79,7 +92,7 @@
         if (std::string reason = std::visit(TargetCheck(document, route), route.target); !reason.empty())
             return reason;
     }
-    return {};
+    return document.accounts ? sharedKeyReason(*document.accounts) : std::string {};
 }
 
 RouteTable::RouteTable(std::shared_ptr<const RouteDocument> document)
--- a/tests/routing/route_document_test.cpp
+++ b/tests/routing/route_document_test.cpp
@@ -49,6 +49,16 @@
     BOOST_TEST(!invalidReason(document).empty());
 }
 
+// Guards against a key that stands for two accounts, and against a refusal that tells the key.
+BOOST_AUTO_TEST_CASE(AccountsDoNotShareKeys)
+{
+    RouteDocument document = validDocument();
+    document.accounts = { { "counter", { KeyDigest("k-1"), KeyDigest("k-1"), KeyDigest("k-2") } }, { "portal", { KeyDigest("k-3") } }, { "archive" } };
+    BOOST_TEST(invalidReason(document).empty());
+    (*document.accounts)[2].keys = { KeyDigest("k-4"), KeyDigest("k-2") };
+    BOOST_TEST(invalidReason(document) == "the client accounts \"counter\" and \"archive\" share a key");
+}
+
 // Guards against a shorter prefix that wins, a prefix that matches part of a path segment, and routes of another host.
 BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostIsSelected)
 {
