End the admission of withdrawn keys at every instance

cause: an instance that is cut off, frozen or suspended admitted a withdrawn key until it heard of the document without it change: accounts.revocation_limit: a request with a key is admitted only while a control leader with a valid lease has confirmed the held document in reply to a watch request sent at most the limit less a fiftieth ago; otherwise 503 key_unconfirmed (policy/key_lease). The time includes suspensions of the machine, which the daemon reports to the router as ProcessSuspended before the next event (policy/suspension_detector).

--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -88,9 +88,9 @@
     m_crashes.fill(m_nextWatch, transport::monotonicNow());
     m_nextWatch.documentVersion = m_sendsParts ? m_transfer.announced() | control::kFetchesDocumentBit : m_transfer.received();
     m_client->request(static_cast<std::uint16_t>(transport::MessageType::Watch), control::encodeWatch(m_nextWatch), m_following ? kWatchTimeout : kFirstWatchTimeout,
-        [this](const transport::RequestResult& result) {
+        [this, requestSentAt = transport::bootTimeNow()](const transport::RequestResult& result) {
             if (m_handlers.reply)
-                handleResult(result);
+                handleResult(result, requestSentAt);
         });
 }
 
@@ -99,11 +99,11 @@
     m_loop.after(delay, [this] { watch(); });
 }
 
-void ControlFeed::handleResult(const transport::RequestResult& result)
+void ControlFeed::handleResult(const transport::RequestResult& result, TimePoint requestSentAt)
 {
     std::optional<control::WatchReply> reply = result.status == transport::RequestStatus::Answered ? control::decodeWatchReply(result.body) : std::nullopt;
     if (reply) {
-        handleReply(std::move(*reply));
+        handleReply(std::move(*reply), requestSentAt);
         return;
     }
     const bool isAnswered = result.status == transport::RequestStatus::Answered;
@@ -116,7 +116,7 @@
     });
 }
 
-void ControlFeed::handleReply(control::WatchReply reply)
+void ControlFeed::handleReply(control::WatchReply reply, TimePoint requestSentAt)
 {
     if (!reply.members.empty())
         m_members = { reply.members.begin(), reply.members.end() };
@@ -147,7 +147,7 @@
     if (reply.entryInstances)
         m_nextWatch.entryListVersion = reply.entryListVersion;
     std::vector<policy::CrashRecord> crashes = m_crashes.takeReply(reply, transport::monotonicNow());
-    m_handlers.reply(std::move(reply), std::move(crashes));
+    m_handlers.reply(std::move(reply), std::move(crashes), requestSentAt);
     watch();
     fetchNextPart();
 }
--- a/main/control_feed.h
+++ b/main/control_feed.h
@@ -21,8 +21,8 @@
 public:
     // Callbacks, which run on the feed's own thread.
     struct Handlers {
-        // Called with a leader's reply and the crash records in it.
-        std::function<void(control::WatchReply reply, std::vector<policy::CrashRecord> crashes)> reply;
+        // Called with a leader's reply, the crash records in it and the boot time at which the request was sent.
+        std::function<void(control::WatchReply reply, std::vector<policy::CrashRecord> crashes, TimePoint requestSentAt)> reply;
         // Called with a document that was fetched in parts.
         std::function<void(std::string content)> document;
         // Called with the servers that leave according to a control instance that knows no leader.
@@ -45,8 +45,8 @@
 
 private:
     void watch();
-    void handleResult(const transport::RequestResult& result);
-    void handleReply(control::WatchReply reply);
+    void handleResult(const transport::RequestResult& result, TimePoint requestSentAt);
+    void handleReply(control::WatchReply reply, TimePoint requestSentAt);
     void takeLeavingServers(std::vector<std::string> servers, Micros age);
     void reportLost(std::string_view reason);
     void reportMissingLeader(std::string_view reason);
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -10,6 +10,7 @@
 #include "platform/http_names.h"
 #include "platform/route_document_json.h"
 #include "policy/isolation_detector.h"
+#include "policy/suspension_detector.h"
 #include "routing/router.h"
 #include "transport/frame_format.h"
 #include "transport/metrics.h"
@@ -94,6 +95,7 @@
         , ready(context, given.ready, readyHandlers())
         , latency(metrics.latency("curranttrail_request_latency_seconds", "Time from the whole request to its answer."))
     {
+        suspendedSinceLastLook();
         if (settings.metrics.port != 0)
             metricsServer.emplace(context, settings.metrics, metricsHandlers());
         if (settings.relay.port != 0)
@@ -107,6 +109,7 @@
         options.dataCentre = settings.dataCentre;
         options.seed = generateSeed();
         options.additionalAttempts = settings.additionalAttempts;
+        options.keyRevocationLimit = settings.keyRevocationLimit;
         return options;
     }
 
@@ -231,14 +234,34 @@
         dispatch(event);
     }
 
+    Micros suspendedSinceLastLook()
+    {
+        for (;;) {
+            const TimePoint before = transport::monotonicNow();
+            const TimePoint bootTime = transport::bootTimeNow();
+            if (const std::optional<Micros> duration = suspension.observe({ before, bootTime, transport::monotonicNow() }))
+                return *duration;
+        }
+    }
+
     void dispatch(const routing::Event& event)
     {
-        for (routing::Effect& effect : router.handle(event, transport::monotonicNow()))
-            std::visit([this](auto& content) { run(content); }, effect);
+        // Only decisions on accounts depend on the time of a suspension.
+        if (router.hasAccounts()) {
+            if (const Micros duration = suspendedSinceLastLook(); duration.count() > 0)
+                handle(routing::ProcessSuspended { duration });
+        }
+        handle(event);
         shareCrashes();
         schedule();
     }
 
+    void handle(const routing::Event& event)
+    {
+        for (routing::Effect& effect : router.handle(event, transport::monotonicNow()))
+            std::visit([this](auto& content) { run(content); }, effect);
+    }
+
     void shareCrashes()
     {
         const policy::CrashTable& crashes = router.crashes();
@@ -360,7 +383,7 @@
         dispatch(changed);
     }
 
-    void handleWatchReply(control::WatchReply reply, std::vector<policy::CrashRecord> crashes)
+    void handleWatchReply(control::WatchReply reply, std::vector<policy::CrashRecord> crashes, TimePoint requestSentAt)
     {
         if (!crashes.empty())
             dispatch(routing::CrashRecordsReceived { std::move(crashes) });
@@ -369,6 +392,7 @@
         isolation.recordLeaderContact(true, transport::monotonicNow());
         versionInForce = reply.documentVersion;
         versionConfirmedAt = transport::monotonicNow();
+        versionAskedAt = requestSentAt;
         confirmDocument();
         if (reply.entryInstances)
             applyEntryInstances(*reply.entryInstances);
@@ -385,7 +409,7 @@
     void confirmDocument()
     {
         if (versionInForce <= router.documentVersion())
-            dispatch(routing::ControlContacted { std::chrono::duration_cast<Micros>(transport::monotonicNow() - versionConfirmedAt) });
+            dispatch(routing::ControlContacted { std::chrono::duration_cast<Micros>(transport::monotonicNow() - versionConfirmedAt), suspension.unsuspended(versionAskedAt) });
     }
 
     void applyDocument(const std::string& content)
@@ -493,8 +517,8 @@
     void runLoop()
     {
         ControlFeed::Handlers handlers;
-        handlers.reply = [this](control::WatchReply reply, std::vector<policy::CrashRecord> crashes) {
-            asio::post(context, [this, reply = std::move(reply), crashes = std::move(crashes)]() mutable { handleWatchReply(std::move(reply), std::move(crashes)); });
+        handlers.reply = [this](control::WatchReply reply, std::vector<policy::CrashRecord> crashes, TimePoint requestSentAt) {
+            asio::post(context, [this, reply = std::move(reply), crashes = std::move(crashes), requestSentAt]() mutable { handleWatchReply(std::move(reply), std::move(crashes), requestSentAt); });
         };
         handlers.document = [this](std::string content) {
             asio::post(context, [this, content = std::move(content)] {
@@ -541,9 +565,11 @@
     policy::IsolationDetector isolation;
     // True once a server list has been received.
     bool hasServerList = false;
-    // The document version in the last reply of a leader, and the time of that reply.
+    // The document version in the last reply of a leader, the time of that reply, and the boot time at which it was asked for.
     std::uint64_t versionInForce = 0;
     TimePoint versionConfirmedAt;
+    TimePoint versionAskedAt;
+    policy::SuspensionDetector suspension;
     bool stopping = false;
     bool wasReady = false;
     TimePoint stopStartedAt;
@@ -580,6 +606,7 @@
                                    { "group.group_port", changed.groupConnection.groupPort == settings.groupConnection.groupPort },
                                    { "group.link_key", changed.groupConnection.linkKey == settings.groupConnection.linkKey },
                                    { "repeats", changed.additionalAttempts == settings.additionalAttempts },
+                                   { "accounts", changed.keyRevocationLimit == settings.keyRevocationLimit },
                                },
         m_implementation->sink);
     asio::post(m_implementation->context, [implementation = m_implementation.get(), seeds = changed.groupConnection.seeds]() mutable {
--- a/main/gateway_settings.cpp
+++ b/main/gateway_settings.cpp
@@ -18,6 +18,9 @@
     settings.additionalAttempts.ratio = additionalAttempts.real("ratio", settings.additionalAttempts.ratio, 0, 10);
     settings.additionalAttempts.allowance = additionalAttempts.real("allowance", settings.additionalAttempts.allowance, 0, 1e6);
     settings.additionalAttempts.window = additionalAttempts.duration("window", settings.additionalAttempts.window, Micros { 1'000'000 }, Micros { 600'000'000 });
+    const SettingsTable accounts = root.table("accounts");
+    if (accounts.has("revocation_limit"))
+        settings.keyRevocationLimit = accounts.duration("revocation_limit", Micros { 1'000'000 }, Micros { 3'600'000'000 });
     return settings;
 }
 
--- a/main/gateway_settings.h
+++ b/main/gateway_settings.h
@@ -3,6 +3,8 @@
 #include "main/group_connection.h"
 #include "policy/additional_attempt_budget.h"
 
+#include <optional>
+
 namespace curranttrail {
 
 // Settings of an entry instance that forwards HTTP requests by the routes of the configuration document.
@@ -19,6 +21,9 @@
     GroupConnection groupConnection;
     // Limits on the additional attempts that all instances together may send to one collection.
     policy::AdditionalAttemptLimits additionalAttempts;
+    // Time after the acknowledgement of a document without a key from which no instance admits the key, not even one that is cut off.
+    // Without a value, such an instance admits it until it hears of the document.
+    std::optional<Micros> keyRevocationLimit;
     // Maximum time from the stop signal to the forced end.
     Micros gracePeriod { 6'000'000 };
 };
--- a/routing/events.h
+++ b/routing/events.h
@@ -37,6 +37,9 @@
     inline constexpr EventDescription kServersReachedAgain { 8061, "servers_reached_again", Severity::Information, "This instance reaches servers again; connections are opened directly from now on." };
     inline constexpr EventDescription kRelayFailed { 8062, "relay_failed", Severity::Information, "Another entry instance could not be reached or refused to relay a connection; it is not asked for a while." };
     inline constexpr EventDescription kStopScheduled { 8070, "stop_scheduled", Severity::Information, "The process ends after the given time; requests that are not expected to be answered before it are refused." };
+    inline constexpr EventDescription kProcessSuspended { 8080, "process_suspended", Severity::Warning, "The machine was suspended for the given time; what control confirmed before is older by it." };
+    inline constexpr EventDescription kKeysUnconfirmed { 8081, "keys_unconfirmed", Severity::Warning, "Requests with keys are refused from now on: no control leader has confirmed within the revocation limit that the document with the keys is in force." };
+    inline constexpr EventDescription kKeysConfirmed { 8082, "keys_confirmed", Severity::Information, "A control leader confirmed the document; requests with its keys are admitted again." };
     inline constexpr EventDescription kDocumentApplied { 8030, "document_applied", Severity::Information, "This instance applied a newer version of the route document." };
     inline constexpr EventDescription kInstancesChanged { 8031, "instances_changed", Severity::Information, "The number of entry instances changed; this instance's share of connections and additional attempts is updated." };
 
@@ -71,6 +74,9 @@
     &events::kServersReachedAgain,
     &events::kRelayFailed,
     &events::kStopScheduled,
+    &events::kProcessSuspended,
+    &events::kKeysUnconfirmed,
+    &events::kKeysConfirmed,
     &events::kDocumentApplied,
     &events::kInstancesChanged,
 };
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -160,6 +160,13 @@
 struct ControlContacted {
     // Time since the reply.
     Micros age { 0 };
+    // Time at which the request was sent to which the leader replied, plus the durations of all ProcessSuspended events.
+    TimePoint requestSentAt {};
+};
+
+// The machine was suspended, without any progress of the time that the router is given.
+struct ProcessSuspended {
+    Micros duration { 0 };
 };
 
 // What other instances know of requests under which servers ended.
@@ -185,7 +192,7 @@
 struct Tick { };
 
 using Event = std::variant<RequestArrived, CallerDisconnected, ConnectionOpened, ConnectionLost, AttemptReplied, AttemptConnectionLost, RouteDocumentUpdated,
-    ServerListReceived, ServerListDeltaReceived, ServersLeaving, ControlContacted, CrashRecordsReceived, EntryInstancesChanged, RelaysChanged, StopScheduled, Tick>;
+    ServerListReceived, ServerListDeltaReceived, ServersLeaving, ControlContacted, CrashRecordsReceived, EntryInstancesChanged, RelaysChanged, ProcessSuspended, StopScheduled, Tick>;
 
 // ---- Effects ----
 
@@ -234,6 +241,8 @@
     DocumentUnconfirmed,
     // No client account has the caller's key, or the caller stated none.
     UnknownKey,
+    // The account's key may have been withdrawn, because control has not confirmed the document in time.
+    KeyUnconfirmed,
     NoServer,
     // The limits that servers name leave this instance too few requests at present.
     ServerLimit,
@@ -248,11 +257,12 @@
     Stopping,
 };
 
-inline constexpr std::array<EnumName<RefusalReason>, 12> kRefusalReasonNames { {
+inline constexpr std::array<EnumName<RefusalReason>, 13> kRefusalReasonNames { {
     { RefusalReason::NotReady, "not_ready" },
     { RefusalReason::NoRoute, "no_route" },
     { RefusalReason::DocumentUnconfirmed, "document_unconfirmed" },
     { RefusalReason::UnknownKey, "unknown_key" },
+    { RefusalReason::KeyUnconfirmed, "key_unconfirmed" },
     { RefusalReason::NoServer, "no_server" },
     { RefusalReason::ServerLimit, "server_limit" },
     { RefusalReason::Overloaded, "overloaded" },
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -45,6 +45,8 @@
     , m_servers(m_options.dataCentre, m_options.name)
     , m_relays(m_options.name, m_options.dataCentre)
 {
+    if (m_options.keyRevocationLimit)
+        m_keyLease.emplace(*m_options.keyRevocationLimit);
 }
 
 std::vector<Effect> Router::handle(const Event& event, TimePoint now)
@@ -184,6 +186,16 @@
     return m_controlContactAt && m_now - *m_controlContactAt < kDocumentConfirmationLifetime;
 }
 
+void Router::on(const ControlContacted& event)
+{
+    m_controlContactAt = m_now - event.age;
+    if (!m_keyLease)
+        return;
+    m_keyLease->confirm(event.requestSentAt);
+    if (m_refusesKeys && areKeysConfirmed())
+        logKeyLease(events::kKeysConfirmed);
+}
+
 void Router::on(const CallerDisconnected& event)
 {
     const auto it = m_requests.find(event.key);
--- a/routing/router.h
+++ b/routing/router.h
@@ -4,6 +4,7 @@
 #include "core/verdict.h"
 #include "policy/additional_attempt_budget.h"
 #include "policy/crash_table.h"
+#include "policy/key_lease.h"
 #include "policy/latency_quantiles.h"
 #include "policy/relay_table.h"
 #include "policy/server_reach.h"
@@ -32,6 +33,9 @@
     std::uint64_t seed = 0;
     // Limits on the additional attempts that all instances together may send to one collection.
     policy::AdditionalAttemptLimits additionalAttempts;
+    // Time after which a withdrawn key is admitted by no instance. Without a value, an instance that is cut off admits the keys that it
+    // knows.
+    std::optional<Micros> keyRevocationLimit {};
 };
 
 // Totals since the start, exported as metrics.
@@ -247,7 +251,7 @@
     void on(const ServerListReceived& event);
     void on(const ServerListDeltaReceived& event);
     void on(const ServersLeaving& event);
-    void on(const ControlContacted& event) { m_controlContactAt = m_now - event.age; }
+    void on(const ControlContacted& event);
     void on(const CrashRecordsReceived& event);
     void applyServerChanges(const ServerTable::Changes& changes, Micros age);
     // Stops the use of a server for new work: what waits for it goes to other servers.
@@ -269,7 +273,11 @@
     const CollectionName& chooseSplitCollection(const Route& route, const SplitTarget& split);
 
     // router_accounts.cpp: client accounts
+    void on(const ProcessSuspended& event);
     Identification identify(const RequestArrived& event, const Route& route) const;
+    // Returns whether the keys in the document have not been withdrawn for longer than the revocation limit.
+    bool areKeysConfirmed() const { return !m_keyLease || m_keyLease->isValid(m_now + m_suspended); }
+    void logKeyLease(const EventDescription& description);
     void refuseUnidentified(const RequestArrived& event, RefusalReason reason);
     static std::uint32_t priorityOf(const Route& route, const ClientAccount* account);
 
@@ -399,6 +407,11 @@
     std::optional<TimePoint> m_documentAppliedAt;
     // Time of the latest reply of a control leader.
     std::optional<TimePoint> m_controlContactAt;
+    std::optional<policy::KeyLease> m_keyLease;
+    // True while requests are refused because their keys are not confirmed.
+    bool m_refusesKeys = false;
+    // Total time in which the machine was suspended.
+    Micros m_suspended { 0 };
     ServerTable m_servers;
     std::uint64_t m_serverListRevision = 0;
     std::unordered_map<RequestKey, Request> m_requests;
--- a/tests/main/control_feed_test.cpp
+++ b/tests/main/control_feed_test.cpp
@@ -59,7 +59,7 @@
         group.groupPort = leader.server.port();
         group.linkKey = kKey;
         ControlFeed::Handlers handlers;
-        handlers.reply = [this](const control::WatchReply& reply, const std::vector<policy::CrashRecord>&) {
+        handlers.reply = [this](const control::WatchReply& reply, const std::vector<policy::CrashRecord>&, TimePoint) {
             const std::lock_guard lock(mutex);
             if (document.empty())
                 ++listsBeforeTheDocument;
--- a/tests/stand_ins/stamped_servers.cpp
+++ b/tests/stand_ins/stamped_servers.cpp
@@ -153,6 +153,7 @@
         return;
     }
     ++m_runs[id];
+    m_lastFields = request.fields;
     if (!m_fatalPath.empty() && request.path() == m_fatalPath) {
         ++m_ends;
         asio::post(m_context, [this, &server] {
@@ -200,6 +201,12 @@
     return it == m_runs.end() ? 0 : it->second;
 }
 
+transport::HttpFields StampedServers::lastFields() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lastFields;
+}
+
 unsigned StampedServers::maximumRuns(std::string_view prefix) const
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/stand_ins/stamped_servers.h
+++ b/tests/stand_ins/stamped_servers.h
@@ -56,6 +56,8 @@
 
     // Returns the number of times that a request ran, over all servers.
     unsigned runsOf(const std::string& requestId) const;
+    // Returns the fields of the request that ran last.
+    transport::HttpFields lastFields() const;
     // Returns the maximum number of runs over all requests whose id starts with the prefix.
     unsigned maximumRuns(std::string_view prefix) const;
 
@@ -77,6 +79,7 @@
     std::string m_fatalPath;
     unsigned m_ends = 0;
     std::map<std::string, unsigned> m_runs;
+    transport::HttpFields m_lastFields;
     std::vector<std::unique_ptr<Server>> m_servers;
     std::unique_ptr<transport::RawHttpServer> m_list;
     std::thread m_thread;
