Refuse the accounts that ask for most while room is short

cause: an account that sends many times its usual fills the servers' queues, and every other account waits with it change: policy/account_admission: while servers report more requests than slots, a request is refused on arrival (503 account_over_share) if its account asks for more than its weighted share of the room, less urgent classes first; Retry-After is spread over the longer a time the less room there is. curranttrail_least_room.

--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -448,6 +448,7 @@
         add("servers_ended_total", "", counters.serversEnded);
         add("crash_records", "", router.crashes().size());
         add("requests_in_flight", "", router.requestsInFlight());
+        text += fmt::format("curranttrail_least_room {:.3f}\n", router.leastRoom());
         add("document_version", "", router.documentVersion());
         add("log_lines_dropped_total", "", sink.droppedLines());
         return text;
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -243,6 +243,8 @@
     UnknownKey,
     // The account's key may have been withdrawn, because control has not confirmed the document in time.
     KeyUnconfirmed,
+    // The servers have too little room for all, and the account asks for more than its share.
+    AccountOverShare,
     NoServer,
     // The limits that servers name leave this instance too few requests at present.
     ServerLimit,
@@ -257,12 +259,13 @@
     Stopping,
 };
 
-inline constexpr std::array<EnumName<RefusalReason>, 13> kRefusalReasonNames { {
+inline constexpr std::array<EnumName<RefusalReason>, 14> kRefusalReasonNames { {
     { RefusalReason::NotReady, "not_ready" },
     { RefusalReason::NoRoute, "no_route" },
     { RefusalReason::DocumentUnconfirmed, "document_unconfirmed" },
     { RefusalReason::UnknownKey, "unknown_key" },
     { RefusalReason::KeyUnconfirmed, "key_unconfirmed" },
+    { RefusalReason::AccountOverShare, "account_over_share" },
     { RefusalReason::NoServer, "no_server" },
     { RefusalReason::ServerLimit, "server_limit" },
     { RefusalReason::Overloaded, "overloaded" },
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -127,6 +127,10 @@
         refuseUnrouted(event, RefusalReason::AwaitingTrial, delay);
         return;
     }
+    if (const std::optional<Micros> delay = delayOverShare(*route, caller.account)) {
+        refuseUnrouted(event, RefusalReason::AccountOverShare, delay);
+        return;
+    }
     if (m_requests.size() >= kMaximumRequests) {
         refuseUnrouted(event, RefusalReason::Overloaded, randomRetryAfter());
         return;
@@ -248,6 +252,7 @@
     m_documentAppliedAt = m_now;
     m_splitCredit.clear();
     log(events::kDocumentApplied, { { "version", fmt::to_string(event.document->version) }, { "routes", fmt::to_string(event.document->routes.size()) } });
+    updateAdmissions();
     updateQuotasAndBudgets();
     warmConnections();
 }
--- a/routing/router.h
+++ b/routing/router.h
@@ -2,6 +2,7 @@
 
 #include "core/random.h"
 #include "core/verdict.h"
+#include "policy/account_admission.h"
 #include "policy/additional_attempt_budget.h"
 #include "policy/crash_table.h"
 #include "policy/key_lease.h"
@@ -77,6 +78,8 @@
     bool hasAccounts() const { return m_table && m_table->hasAccounts(); }
     // Returns null if no account has the key.
     const ClientAccount* findAccount(const std::optional<KeyDigest>& key) const { return m_table && key ? m_table->findAccount(*key) : nullptr; }
+    // Returns the part of the demand for which the servers have room, from 0 to 1, where they have least. 1 without client accounts.
+    double leastRoom() const;
     std::size_t requestsInFlight() const { return m_requests.size(); }
     const RouterCounters& counters() const { return m_counters; }
     const ServerTable& servers() const { return m_servers; }
@@ -281,6 +284,15 @@
     void refuseUnidentified(const RequestArrived& event, RefusalReason reason);
     static std::uint32_t priorityOf(const Route& route, const ClientAccount* account);
 
+    // router_admission.cpp: which accounts are served while there is too little room
+    void updateAdmissions();
+    // Returns the admission to the servers of a collection, or null if the document names no accounts.
+    policy::AccountAdmission* admissionTo(const CollectionName& collection);
+    // Returns the Retry-After if a request is refused because its account asks for more than its share.
+    std::optional<Micros> delayOverShare(const Route& route, const ClientAccount* account);
+    void recordLoad(const Server& server);
+    void recordAdmittedEnd(const Request& request);
+
     // router_connections.cpp: connections and whether servers can be reached
     void on(const ConnectionOpened& event);
     void on(const ConnectionLost& event);
@@ -408,6 +420,9 @@
     // Time of the latest reply of a control leader.
     std::optional<TimePoint> m_controlContactAt;
     std::optional<policy::KeyLease> m_keyLease;
+    // Admission to the servers of the collections that are used together, by the first of them, and the first one of each collection.
+    std::map<CollectionName, policy::AccountAdmission> m_admissions;
+    std::map<CollectionName, CollectionName> m_admissionGroups;
     // True while requests are refused because their keys are not confirmed.
     bool m_refusesKeys = false;
     // Total time in which the machine was suspended.
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -193,6 +193,7 @@
         server.load = *event.reply.load;
         server.loadReportedAt = m_now;
         server.ownAttemptsInLoad = static_cast<std::uint32_t>(server.unanswered.size());
+        recordLoad(server);
     }
     if (isOfServer)
         updateLimit(server, attempt, event.reply.limit);
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -127,6 +127,7 @@
 {
     const Micros elapsed = std::chrono::duration_cast<Micros>(m_now - request.arrivedAt);
     ++m_counters.answered;
+    recordAdmittedEnd(request);
     m_counters.late += elapsed > request.route->latencyObjective ? 1 : 0;
     return elapsed;
 }
--- a/tests/routing/accounts_test.cpp
+++ b/tests/routing/accounts_test.cpp
@@ -150,4 +150,37 @@
     BOOST_TEST(later < 3u);
 }
 
+// The servers have four times as many requests as slots, and one account sends most of them. Guards against a refusal of others, a late
+// one, and one that also meets documents without accounts.
+BOOST_AUTO_TEST_CASE(TheAccountThatAsksForMostIsRefusedWhileThereIsTooLittleRoom)
+{
+    const auto load = [](AccountHarness& harness, const std::optional<std::string>& key) {
+        std::size_t refused = 0;
+        for (int n = 0; n < 40; ++n) {
+            harness.ask("/search/x", key);
+            for (const RefuseRequest& refusal : harness.takeEffects<RefuseRequest>()) {
+                BOOST_TEST((refusal.reason == RefusalReason::AccountOverShare && refusal.notRun && refusal.retryAfter));
+                ++refused;
+            }
+            for (const SendAttempt& send : harness.takeSent()) {
+                ServerReply reply = RouterHarness::success("s");
+                reply.load = ServerLoad { 2, 6, 2, 1 };
+                harness.reply(send, std::move(reply));
+            }
+            harness.advance(milliseconds { 20 });
+            harness.handle(ControlContacted {});
+        }
+        return refused;
+    };
+    AccountHarness harness;
+    BOOST_TEST(load(harness, "p-1") >= 10u);
+    BOOST_TEST(harness.router.leastRoom() < 1);
+    BOOST_TEST(!harness.refusalOf("/search/x", "c-old"));
+    // Other servers have room.
+    BOOST_TEST(!harness.refusalOf("/order/x", "p-1"));
+    harness.apply([](RouteDocument& next) { next.accounts.reset(); });
+    BOOST_TEST(load(harness, std::nullopt) == 0u);
+    BOOST_TEST(harness.router.leastRoom() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
