--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -45,6 +45,8 @@
     , m_servers(m_options.dataCentre, m_options.name)
     , m_relays(m_options.name, m_options.dataCentre)
 {
+    if (m_options.keyRevocationLimit)
+        m_keyLease.emplace(*m_options.keyRevocationLimit);
 }
 
 std::vector<Effect> Router::handle(const Event& event, TimePoint now)
@@ -69,6 +71,11 @@
     return wakeup;
 }
 
+Micros Router::retryAfterControl()
+{
+    return randomDelay(kMinimumRetryAfterWhenNotReady, kMaximumRetryAfterWhenNotReady);
+}
+
 Micros Router::randomDelay(Micros minimum, Micros maximum)
 {
     boost::random::uniform_int_distribution<Micros::rep> delay(minimum.count(), maximum.count());
@@ -95,7 +102,7 @@
 {
     ++m_counters.arrived;
     if (!m_table) {
-        refuseUnrouted(event, RefusalReason::NotReady, randomDelay(kMinimumRetryAfterWhenNotReady, kMaximumRetryAfterWhenNotReady));
+        refuseUnrouted(event, RefusalReason::NotReady, retryAfterControl());
         return;
     }
     const Route* route = m_table->find(event.host, event.path);
@@ -103,7 +110,12 @@
         if (isDocumentConfirmed())
             refuseUnrouted(event, RefusalReason::NoRoute, std::nullopt);
         else
-            refuseUnrouted(event, RefusalReason::DocumentUnconfirmed, randomDelay(kMinimumRetryAfterWhenNotReady, kMaximumRetryAfterWhenNotReady));
+            refuseUnrouted(event, RefusalReason::DocumentUnconfirmed, retryAfterControl());
+        return;
+    }
+    const Identification caller = identify(event, *route);
+    if (caller.refusal) {
+        refuseUnidentified(event, *caller.refusal);
         return;
     }
     if (!m_crashes.empty() && m_crashes.standing(event.fingerprint) == policy::RequestStanding::Blocked) {
@@ -115,6 +127,10 @@
         refuseUnrouted(event, RefusalReason::AwaitingTrial, delay);
         return;
     }
+    if (const std::optional<Micros> delay = delayOverShare(*route, caller.account)) {
+        refuseUnrouted(event, RefusalReason::AccountOverShare, delay);
+        return;
+    }
     if (m_requests.size() >= kMaximumRequests) {
         refuseUnrouted(event, RefusalReason::Overloaded, randomRetryAfter());
         return;
@@ -124,6 +140,8 @@
     request.fingerprint = event.fingerprint;
     request.table = m_table;
     request.route = route;
+    request.account = caller.account;
+    request.priority = priorityOf(*route, caller.account);
     request.profile = &latencyProfileOf(*route);
     request.arrivedAt = m_now;
     // The caller's time includes the network round trip, and another one if it opened the connection for this request.
@@ -139,7 +157,7 @@
     for (CollectionName& collection : collectionsOf(*route)) {
         Part& part = request.parts.emplace_back();
         part.collection = std::move(collection);
-        const Availability availability = m_servers.availability(part.collection, route->priority, m_now);
+        const Availability availability = m_servers.availability(part.collection, request.priority, m_now);
         const bool isOutOfTime = endsBeforeAnswer(part.collection, *request.profile);
         if (availability == Availability::Available && !isOutOfTime)
             continue;
@@ -172,6 +190,16 @@
     return m_controlContactAt && m_now - *m_controlContactAt < kDocumentConfirmationLifetime;
 }
 
+void Router::on(const ControlContacted& event)
+{
+    m_controlContactAt = m_now - event.age;
+    if (!m_keyLease)
+        return;
+    m_keyLease->confirm(event.requestSentAt);
+    if (m_refusesKeys && areKeysConfirmed())
+        logKeyLease(events::kKeysConfirmed);
+}
+
 void Router::on(const CallerDisconnected& event)
 {
     const auto it = m_requests.find(event.key);
@@ -224,6 +252,7 @@
     m_documentAppliedAt = m_now;
     m_splitCredit.clear();
     log(events::kDocumentApplied, { { "version", fmt::to_string(event.document->version) }, { "routes", fmt::to_string(event.document->routes.size()) } });
+    updateAdmissions();
     updateQuotasAndBudgets();
     warmConnections();
 }
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -127,6 +127,7 @@
 {
     const Micros elapsed = std::chrono::duration_cast<Micros>(m_now - request.arrivedAt);
     ++m_counters.answered;
+    recordAdmittedEnd(request);
     m_counters.late += elapsed > request.route->latencyObjective ? 1 : 0;
     return elapsed;
 }
@@ -187,7 +188,7 @@
 
 Micros Router::retryAfter(const Request& request, RefusalReason reason)
 {
-    const auto isHeldBack = [&](const Part& part) { return m_servers.availability(part.collection, request.route->priority, m_now) == Availability::LimitReached; };
+    const auto isHeldBack = [&](const Part& part) { return m_servers.availability(part.collection, request.priority, m_now) == Availability::LimitReached; };
     if (reason == RefusalReason::ServerLimit || (reason == RefusalReason::AttemptsFailed && std::any_of(request.parts.begin(), request.parts.end(), isHeldBack)))
         return std::max(retryAfterLimit(request), randomRetryAfter());
     return reason == RefusalReason::Stopping ? retryAfterStop() : randomRetryAfter();
