--- a/main/cli_commands.h
+++ b/main/cli_commands.h
@@ -44,6 +44,17 @@
 CliExit listCrashes(const transport::Endpoint& coordinator, CliOutput output);
 CliExit releaseRequest(const transport::Endpoint& coordinator, const std::string& fingerprint, CliOutput output);
 
+struct ConfigurationCheck {
+    // The document that is to be sent.
+    std::string file;
+    // Where the document in force is read, to show what would change: any coordinator's API, or a file. Neither is needed.
+    std::optional<transport::Endpoint> coordinator;
+    std::string inForceFile;
+};
+
+// Shows the errors of a configuration document, entries that never match, limits that contradict each other and what it would change.
+CliExit checkConfiguration(const ConfigurationCheck& check, CliOutput output);
+
 struct TimelineOptions {
     TimelineFilter filter;
     // Log files; if there are none, the events are fetched from all instances in the settings.
--- a/main/cli_crashes.cpp
+++ b/main/cli_crashes.cpp
@@ -21,10 +21,7 @@
         request.path = path;
         HttpReply reply = requestOnce(coordinator, request, kTimeout);
         if (reply.status == 307 && !reply.location.empty()) {
-            const std::string_view location { reply.location };
-            constexpr std::string_view scheme = "http://";
-            const std::string_view authority = location.substr(location.starts_with(scheme) ? scheme.size() : 0);
-            if (const std::optional<transport::Endpoint> leader = transport::parseEndpoint(authority.substr(0, authority.find('/')))) {
+            if (const std::optional<transport::Endpoint> leader = endpointOf(reply.location)) {
                 coordinator = *leader;
                 reply = requestOnce(coordinator, request, kTimeout);
             }
--- a/main/cli_http.cpp
+++ b/main/cli_http.cpp
@@ -88,6 +88,13 @@
 
 } // namespace
 
+std::optional<transport::Endpoint> endpointOf(std::string_view url)
+{
+    constexpr std::string_view scheme = "http://";
+    const std::string_view authority = url.substr(url.starts_with(scheme) ? scheme.size() : 0);
+    return transport::parseEndpoint(authority.substr(0, authority.find('/')));
+}
+
 HttpReply requestOnce(const transport::Endpoint& endpoint, const transport::HttpRequest& request, std::chrono::milliseconds timeout)
 {
     boost::system::error_code ec;
--- a/main/cli_http.h
+++ b/main/cli_http.h
@@ -3,7 +3,9 @@
 #include "transport/http_message.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace curranttrail {
 
@@ -25,6 +27,9 @@
     std::string error;
 };
 
+// Returns the address in a URL, such as that of a redirect.
+std::optional<transport::Endpoint> endpointOf(std::string_view url);
+
 // Makes one HTTP request on a new connection and waits for its answer.
 HttpReply requestOnce(const transport::Endpoint& endpoint, const transport::HttpRequest& request, std::chrono::milliseconds timeout);
 
--- a/main/operator_program.cpp
+++ b/main/operator_program.cpp
@@ -23,6 +23,7 @@
   timeline [options]         events of all processes in causal order
   crashes list               requests under which servers ended, at the coordinators
   crashes release ID         let such a request run again
+  check FILE [options]       check a configuration document before it is sent
   verify [options]           recompute the bill and compare it with the other owner's ledger
   keygen PATH                create a key pair for the usage ledger
 
@@ -220,6 +221,22 @@
         return releaseRequest(coordinator.endpoint(), fingerprint.getValue(), output);
     }
 
+    CliExit runCheck(const ArgumentList& words, CliOutput output)
+    {
+        Arguments arguments("check", "Checks a configuration document before it is sent: errors, entries that never match, limits that contradict each other.");
+        TCLAP::CmdLine& line = arguments.line();
+        TextArgument coordinator("", "coordinator", "Any coordinator's API; shows what would change.", false, "", "HOST:PORT", line);
+        TextArgument inForce("", "in-force", "File with the document in force instead.", false, "", "FILE", line);
+        TCLAP::UnlabeledValueArg<std::string> file("file", "Document.", true, "", "FILE", line);
+        arguments.parse(words);
+        ConfigurationCheck check { file.getValue(), transport::parseEndpoint(coordinator.getValue()), inForce.getValue() };
+        if (coordinator.isSet() && !check.coordinator)
+            throw TCLAP::CmdLineParseException("not an address with a port", coordinator.getValue());
+        if (coordinator.isSet() && inForce.isSet())
+            throw TCLAP::CmdLineParseException("--coordinator and --in-force exclude each other");
+        return checkConfiguration(check, output);
+    }
+
     using CommandFunction = CliExit (*)(const ArgumentList&, CliOutput);
 
     CommandFunction findCommand(ArgumentList& words)
@@ -227,7 +244,7 @@
         static const std::map<std::string, CommandFunction> commands { { "class list", runClassList }, { "class show", runClassShow },
             { "class set", runClassSet }, { "status", runStatus }, { "where", runWhere }, { "timeline", runTimeline },
             { "crashes list", runCrashesList },
-            { "crashes release", runCrashesRelease }, { "verify", runVerify }, { "keygen", runKeygen } };
+            { "crashes release", runCrashesRelease }, { "check", runCheck }, { "verify", runVerify }, { "keygen", runKeygen } };
         if (words.empty())
             return nullptr;
         const std::size_t count = (words.front() == "class" || words.front() == "crashes") && words.size() > 1 ? 2 : 1;
