Build the admission by account with clang

cause: clang of the linter does not deduce the arguments of an aggregate template, nor default member initialisers in emplace change: a visitor that assigns collections to groups; two lines of tests measured: clang-tidy and clang-format report nothing on the changed files; test_routing 230 and test_policy 58 cases pass

--- a/routing/router_admission.cpp
+++ b/routing/router_admission.cpp
@@ -12,21 +12,21 @@
         const CollectionName& operator()(const ScatterTarget& target) const { return target.shards.front(); }
     };
 
-    // Calls the function with each collection of a target.
-    template <typename Function>
-    struct EachCollection {
-        Function function;
+    // Assigns the collections of a target to a group, unless they belong to one already.
+    struct GroupAssignment {
+        std::map<CollectionName, CollectionName>& groups;
+        const CollectionName& group;
 
-        void operator()(const SingleTarget& target) const { function(target.collection); }
+        void operator()(const SingleTarget& target) const { groups.try_emplace(target.collection, group); }
         void operator()(const SplitTarget& target) const
         {
             for (const WeightedCollection& part : target.parts)
-                function(part.collection);
+                groups.try_emplace(part.collection, group);
         }
         void operator()(const ScatterTarget& target) const
         {
             for (const CollectionName& shard : target.shards)
-                function(shard);
+                groups.try_emplace(shard, group);
         }
     };
 
@@ -40,7 +40,7 @@
             const CollectionName& first = std::visit(FirstCollection {}, route.target);
             const CollectionName group = m_admissionGroups.try_emplace(first, first).first->second;
             m_admissions.try_emplace(group);
-            std::visit(EachCollection { [&](const CollectionName& collection) { m_admissionGroups.try_emplace(collection, group); } }, route.target);
+            std::visit(GroupAssignment { m_admissionGroups, group }, route.target);
         }
     }
     std::erase_if(m_admissions, [this](const auto& entry) { return !m_admissionGroups.contains(entry.first); });
--- a/tests/policy/account_admission_test.cpp
+++ b/tests/policy/account_admission_test.cpp
@@ -100,6 +100,7 @@
 std::vector<Pool::Source> sources(double factorOfLarge)
 {
     std::vector<Pool::Source> result;
+    result.reserve(22);
     for (int n = 0; n < 20; ++n)
         result.push_back({ { fmt::format("small-{}", n), 1, 0 }, 4 });
     result.push_back({ { "large", 10, 0 }, 8 * factorOfLarge });
--- a/tests/routing/key_lease_test.cpp
+++ b/tests/routing/key_lease_test.cpp
@@ -146,11 +146,8 @@
             ask(m_callers.front());
         if (!readsReplyFirst)
             readReply();
-        if (!m_watch) {
-            m_watch.emplace();
-            m_watch->sentAt = m_time;
-            m_watch->viewedAt = m_time + milliseconds { pick(1, 250) };
-        }
+        if (!m_watch)
+            m_watch = Watch { m_time, m_time + milliseconds { pick(1, 250) }, {}, std::nullopt };
     }
 
     void readReply()
