--- a/routing/route_document.h
+++ b/routing/route_document.h
@@ -56,9 +56,9 @@
     std::uint32_t priority = 0;
     // Maximum number of servers of a collection that may run one request.
     std::uint32_t maximumAttempts = 1;
+    Target target;
     // True if requests need no key even where the document names client accounts.
     bool isPublic = false;
-    Target target;
 };
 
 struct CollectionSpec {
