--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -344,6 +344,7 @@
         routing::RelaysChanged relays;
         for (const control::EntryInstance& instance : instances) {
             changed.instances.push_back(instance.name);
+            changed.dataCentres[instance.name] = instance.dataCentre;
             relays.relays.push_back({ instance.name, instance.dataCentre, instance.relay });
         }
         dispatch(relays);
@@ -403,6 +404,11 @@
         for (const EnumName<routing::RefusalReason>& row : routing::kRefusalReasonNames)
             add("refusals_total", fmt::format("{{reason=\"{}\"}}", row.name), counters.refused[static_cast<std::size_t>(row.value)]);
         add("attempts_total", "", counters.attempts);
+        for (const EnumName<routing::AttemptReason>& row : routing::kAttemptReasonNames) {
+            const std::size_t reason = static_cast<std::size_t>(row.value);
+            add("attempts_by_place_total", fmt::format("{{reason=\"{}\",place=\"own\"}}", row.name), counters.attemptsAtHome[reason]);
+            add("attempts_by_place_total", fmt::format("{{reason=\"{}\",place=\"other\"}}", row.name), counters.attemptsElsewhere[reason]);
+        }
         add("repeats_total", "", counters.additionalAttempts);
         add("repeats_denied_total", "", counters.additionalAttemptsDenied);
         add("failed_attempts_total", "", counters.attemptsFailed);
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -167,6 +168,8 @@
 // The entry instances that share the servers, including this one.
 struct EntryInstancesChanged {
     std::vector<InstanceName> instances;
+    // The data centre of each, as far as known.
+    std::map<InstanceName, DataCentreName> dataCentres {};
 };
 
 // The entry instances that relay connections to servers.
@@ -221,6 +224,21 @@
     std::string body;
 };
 
+// Why a part of a request is sent to a server.
+enum class AttemptReason {
+    First,
+    // Another attempt at the part is late.
+    Hedge,
+    // All earlier attempts at the part have failed.
+    Retry,
+};
+
+inline constexpr std::array<EnumName<AttemptReason>, 3> kAttemptReasonNames { {
+    { AttemptReason::First, "first" },
+    { AttemptReason::Hedge, "hedge" },
+    { AttemptReason::Retry, "retry" },
+} };
+
 // Reason for refusing a request.
 enum class RefusalReason {
     NotReady,
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -277,7 +277,7 @@
 void Router::on(const EntryInstancesChanged& event)
 {
     m_trialTurns.setInstances(m_options.name, event.instances);
-    if (!m_servers.setInstances(event.instances, m_now))
+    if (!m_servers.setInstances(event.instances, event.dataCentres, m_now))
         return;
     log(events::kInstancesChanged, { { "instances", fmt::to_string(m_servers.instanceCount(m_now)) } });
     updateQuotasAndBudgets();
@@ -334,6 +334,7 @@
             closeSilentConnection(it->second);
     }
     closeSharedIdleConnections();
+    closeConnectionsBeyondPlan();
     m_crashes.expire(m_now);
     checkReach();
     const ServerTable::Changes changes = m_servers.evictRetired(m_now);
--- a/routing/router.h
+++ b/routing/router.h
@@ -43,6 +43,9 @@
     std::uint64_t abandoned = 0;
     std::array<std::uint64_t, kRefusalReasonNames.size()> refused {};
     std::uint64_t attempts = 0;
+    // The attempts by their reason: at servers of this instance's data centre, and at servers elsewhere.
+    std::array<std::uint64_t, kAttemptReasonNames.size()> attemptsAtHome {};
+    std::array<std::uint64_t, kAttemptReasonNames.size()> attemptsElsewhere {};
     // Hedges and retries that were started, and those that the shared budget did not allow.
     std::uint64_t additionalAttempts = 0;
     std::uint64_t additionalAttemptsDenied = 0;
@@ -164,6 +167,7 @@
         bool holdsToken = false;
         std::uint32_t priority = 0;
         LatencyProfile* profile = nullptr;
+        AttemptReason reason = AttemptReason::First;
     };
 
     struct Connection {
@@ -266,6 +270,7 @@
     void warmConnections();
     void closeLateConnections();
     void closeSharedIdleConnections();
+    void closeConnectionsBeyondPlan();
     void closeSilentConnection(const Attempt& attempt);
     void closeConnection(ConnectionId id);
     void dropConnection(ConnectionId id);
@@ -348,6 +353,7 @@
     // router_requests.cpp: evaluation, answers and refusals of requests
     void evaluate(RequestKey key);
     void scheduleHedge(Request& request);
+    TimePoint hedgeDueAt(const Request& request, const Attempt& attempt, Micros delay) const;
     void hedge(RequestKey key, Request& request);
     TimePoint nextEvaluation(const Request& request) const;
     bool coversEnough(const Request& request, std::size_t parts) const;
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -39,6 +39,7 @@
     estimate.pauseThreshold = request.profile->hedgeDelay.count() > 0 ? request.profile->hedgeDelay : request.route->latencyObjective / 3;
     estimate.priority = request.route->priority;
     estimate.isSuspect = isSuspect(request);
+    estimate.slack = std::max(Micros { 0 }, std::chrono::duration_cast<Micros>(request.softDeadline - m_now) - std::max(estimate.typical, estimate.pauseThreshold));
     Server* server = m_servers.choose(part.collection, part.tried, estimate, m_random, m_now);
     if (server && endsBeforeAnswer(*server, *request.profile)) {
         std::vector<const Server*> avoided = part.tried;
@@ -61,6 +62,8 @@
     attempt.priority = request.route->priority;
     attempt.holdsToken = server->rateLimit && server->rateLimit->tryAcquire(attempt.priority, m_now);
     attempt.profile = request.profile;
+    if (part.sent > 0)
+        attempt.reason = part.inFlight > 0 ? AttemptReason::Hedge : AttemptReason::Retry;
     part.tried.push_back(server);
     ++part.inFlight;
     request.attempts.push_back(id);
@@ -98,6 +101,8 @@
     busyConnection.wasUsed = true;
     attempt.server->unanswered.emplace(id, m_now);
     ++m_counters.attempts;
+    const bool isAtHome = attempt.server->record.dataCentre == m_options.dataCentre;
+    ++(isAtHome ? m_counters.attemptsAtHome : m_counters.attemptsElsewhere)[static_cast<std::size_t>(attempt.reason)];
     if (++part.sent == 1)
         budgetOf(part.collection).onFirstAttempt(m_now);
     ++part.mayHaveRun;
--- a/routing/router_connections.cpp
+++ b/routing/router_connections.cpp
@@ -173,6 +173,15 @@
     }
 }
 
+// Connections that were borrowed, or that are beyond a planned quota that has shrunk: other instances may use that room already.
+void Router::closeConnectionsBeyondPlan()
+{
+    for (const auto& [instance, server] : m_servers.all()) {
+        while (server->isPlanned && server->connections > server->plannedQuota && !server->idle.empty())
+            closeConnection(server->idle.front());
+    }
+}
+
 // Closes the connection of an abandoned attempt that got no reply. If the server has not replied to anything since the attempt was
 // sent, its other connections are likely to be silent too.
 void Router::closeSilentConnection(const Attempt& attempt)
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -11,18 +11,6 @@
 namespace curranttrail::routing {
 
 namespace {
-    // With more connections, requests would only queue at the server instead of here.
-    constexpr std::uint32_t kMaximumConnectionsPerServer = 6;
-    // A smaller subset of connected servers leaves no second choice while one of them is slow.
-    constexpr std::size_t kMinimumKeptServers = 2;
-    // Idle connections that are kept anyway may take this part of the usable limit. Instances choose their servers independently, so
-    // some servers get more than the mean, and requests need connections as well.
-    constexpr double kIdleShareOfLimit = 0.7;
-    constexpr std::size_t kRoundingSteps = 1'000;
-    // Connections of one instance to a server whose limit all instances share. Overlapping requests need a second one.
-    constexpr std::uint32_t kMaximumSharedConnections = 2;
-    // The rest of a server's connection limit is left for instances that are not known yet and for its other clients.
-    constexpr double kUsableLimitShare = 0.85;
     // A reported load is ignored after this time.
     constexpr Micros kLoadReportLifetime { 150'000 };
     // Usual time to open a connection, added for a request without an idle connection.
@@ -172,69 +160,6 @@
     return changes;
 }
 
-bool ServerTable::setInstances(std::vector<InstanceName> instances, TimePoint now)
-{
-    const std::uint32_t before = m_shares.instanceCount();
-    m_shares.setInstances(m_self, std::move(instances), now);
-    return m_shares.instanceCount() != before;
-}
-
-void ServerTable::updateConnectionQuotas(const std::map<CollectionName, CollectionSpec>& specs, TimePoint now)
-{
-    // Servers of a collection that is not in the route document yet, as after a repartitioning of the index, are connected in
-    // advance. Until its connection limit is known, the lowest limit of the known collections applies.
-    CollectionSpec fallback;
-    for (const auto& [name, spec] : specs)
-        fallback.connectionLimit = fallback.connectionLimit == 0 ? spec.connectionLimit : std::min(fallback.connectionLimit, spec.connectionLimit);
-    for (const auto& [name, servers] : m_collections) {
-        const auto spec = specs.find(name);
-        updateConnectionQuota(spec == specs.end() ? fallback : spec->second, servers, now);
-    }
-}
-
-// If each instance may hold at least one connection to every server, connections are kept open. Otherwise an instance keeps them to a
-// subset of the servers, of its own data centre first, if that leaves a second choice, and opens others when needed. With still more
-// instances each sends so few requests that the servers would close its idle connections: all are opened when needed.
-void ServerTable::updateConnectionQuota(const CollectionSpec& spec, const std::vector<Server*>& servers, TimePoint now)
-{
-    const double limit = spec.connectionLimit * kUsableLimitShare;
-    const double instances = m_shares.maximumInstanceCount(now);
-    std::vector<Server*> usable;
-    for (Server* server : servers) {
-        server->connectionQuota = 0;
-        server->keepsWarmConnection = false;
-        server->idleConnectionLimit.reset();
-        if (server->acceptsWork())
-            usable.push_back(server);
-    }
-    if (limit >= instances) {
-        for (Server* server : usable) {
-            server->connectionQuota = std::min(static_cast<std::uint32_t>(limit / instances), kMaximumConnectionsPerServer);
-            server->keepsWarmConnection = true;
-        }
-        return;
-    }
-    const std::size_t share = std::min(static_cast<std::size_t>(limit * static_cast<double>(usable.size()) / instances), usable.size());
-    const std::size_t kept = share >= kMinimumKeptServers ? share : 0;
-    // The fraction of the idle share is rounded up by as many of the instances.
-    const double exactIdleShare = limit * kIdleShareOfLimit * static_cast<double>(usable.size()) / instances;
-    const double rounding = static_cast<double>(std::hash<std::string> {}(m_self + '/' + spec.name) % kRoundingSteps) / kRoundingSteps;
-    const std::size_t idleShare = static_cast<std::size_t>(exactIdleShare + rounding);
-    std::partial_sort(usable.begin(), usable.begin() + static_cast<std::ptrdiff_t>(kept), usable.end(),
-        [this](const Server* a, const Server* b) { return preferenceRank(*a) < preferenceRank(*b); });
-    for (std::size_t n = 0; n < usable.size(); ++n) {
-        usable[n]->connectionQuota = kept > 0 ? 1 : kMaximumSharedConnections;
-        usable[n]->keepsWarmConnection = n == 0 && kept > 0;
-        if (n >= kept)
-            usable[n]->idleConnectionLimit = kept > 0 ? 0 : idleShare;
-    }
-}
-
-std::pair<bool, std::size_t> ServerTable::preferenceRank(const Server& server) const
-{
-    return { server.record.dataCentre != m_dataCentre, std::hash<std::string> {}(m_self + '/' + server.record.instance) };
-}
-
 Server* ServerTable::find(const std::string& instance)
 {
     const auto it = m_servers.find(instance);
@@ -248,6 +173,12 @@
     return it == m_collections.end() ? none : it->second;
 }
 
+// Returns the time until a connection of the server becomes free. With the few connections of a plan it is that of the requests before.
+double ServerTable::connectionWaitMicros(const Server& server, double typical)
+{
+    return server.isPlanned && server.connections > 0 ? typical * static_cast<double>(server.waiting.size() + 1) / server.connections : typical * 2;
+}
+
 double ServerTable::cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const
 {
     const double typical = std::max(1.0, static_cast<double>(estimate.typical.count()));
@@ -265,7 +196,7 @@
     // Requests beyond the free slots wait until the slots have been served once.
     double micros = typical * factor * (1 + std::max(0.0, attemptsAhead + 1 - slots) / slots + 0.1 * attemptsAhead);
     if (!server.hasIdleConnection())
-        micros += server.canOpenConnection(now) || server.opening > server.waiting.size() ? kConnectCostMicros : typical * 2;
+        micros += server.canOpenConnection(now) || server.opening > server.waiting.size() ? kConnectCostMicros : connectionWaitMicros(server, typical);
     // A connection that has been opening for long is likely to need as long again.
     if (server.opening > 0 && server.opening == server.connections)
         micros += std::max(0.0, static_cast<double>((now - server.openingSince).count()));
@@ -302,7 +233,15 @@
         best = server;
         lowestCost = micros;
     }
-    return best;
+    return best ? best : lend(collection, avoided, estimate.priority, now);
+}
+
+bool ServerTable::hasOtherAtHome(const CollectionName& collection, const std::vector<const Server*>& avoided) const
+{
+    const std::vector<Server*>& servers = serversOf(collection);
+    return std::any_of(servers.begin(), servers.end(), [&](const Server* server) {
+        return server->record.dataCentre == m_dataCentre && server->acceptsWork() && server->isReachable() && server->connectionQuota > 0 && std::find(avoided.begin(), avoided.end(), server) == avoided.end();
+    });
 }
 
 std::vector<Server*> ServerTable::usableServers(const CollectionName& collection) const
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "core/units.h"
+#include "policy/connection_plan.h"
 #include "policy/connection_shares.h"
 #include "policy/recent_maximum.h"
 #include "policy/server_health.h"
@@ -78,9 +79,13 @@
     TimePoint earliestConnectAt = TimePoint::min();
     // Maximum number of connections that this instance may hold to the server.
     std::uint32_t connectionQuota = 1;
+    // True if connections are planned by data centre. Those beyond the planned number are borrowed: they are closed as soon as they are idle.
+    bool isPlanned = false;
+    std::uint32_t plannedQuota = 0;
     // True if one connection is kept open ahead of need.
     bool keepsWarmConnection = false;
-    // Set if this instance may not keep a connection to the server because all instances share its limit. Connections are then opened
+    // Set if this instance may not keep a connection to the server because all instances share its limit, or because it is only the
+    // second choice. Connections are then opened
     // for a request and closed after a short idle time, so that few are open at the same moment. The value is the number of idle
     // connections that may stay longer, over all servers of the collection for which it is set.
     std::optional<std::size_t> idleConnectionLimit;
@@ -112,6 +117,8 @@
     bool isSuspect = false;
     // Cost of a failed attempt: the delay of its retry and the use of the budget of additional attempts.
     Micros failureCost { 0 };
+    // Time by which the request may take longer than usual and still meet its latency objective.
+    Micros slack { 0 };
 };
 
 // Whether a request can be sent to some server of a collection now.
@@ -139,12 +146,12 @@
     Changes apply(const ServerListDelta& delta, Micros age, TimePoint now);
     // Withdraws the servers that leave, until a list names them otherwise.
     Changes markLeaving(const std::vector<std::string>& instances);
-    // Sets the known entry instances. Returns whether their number changed.
-    bool setInstances(std::vector<InstanceName> instances, TimePoint now);
+    // Sets the known entry instances and, as far as known, their data centres. Returns whether their number changed.
+    bool setInstances(std::vector<InstanceName> instances, std::map<InstanceName, DataCentreName> dataCentres, TimePoint now);
     // Recomputes how many connections this instance may hold to each server.
     void updateConnectionQuotas(const std::map<CollectionName, CollectionSpec>& specs, TimePoint now);
     // Drops expired views of the instances. Returns whether the quotas must be recomputed.
-    bool expireShares(TimePoint now) { return m_shares.expire(now); }
+    bool expireShares(TimePoint now);
     // Returns the highest number of instances in recent views, so that a briefly incomplete view does not raise any quota.
     std::uint32_t instanceCount(TimePoint now) const { return m_shares.maximumInstanceCount(now); }
 
@@ -152,6 +159,8 @@
     const std::vector<Server*>& serversOf(const CollectionName& collection) const;
     // Returns the usable server with the lowest expected cost, excluding the avoided ones, or null if there is none.
     Server* choose(const CollectionName& collection, const std::vector<const Server*>& avoided, const WorkEstimate& estimate, Random& random, TimePoint now) const;
+    // Returns whether another server of this data centre can take a request.
+    bool hasOtherAtHome(const CollectionName& collection, const std::vector<const Server*>& avoided) const;
     Availability availability(const CollectionName& collection, std::uint32_t priority, TimePoint now) const;
     // Records a request at the servers of the collection that may get none at present. Returns whether there are such servers.
     bool recordHeldBack(const CollectionName& collection, std::uint32_t priority, TimePoint now);
@@ -176,12 +185,16 @@
     static void remove(Server& server, Changes& changes);
     // Returns the sort key for choosing a subset of the servers. The order may differ between instances.
     std::pair<bool, std::size_t> preferenceRank(const Server& server) const;
+    static double connectionWaitMicros(const Server& server, double typical);
     double cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const;
     void updateConnectionQuota(const CollectionSpec& spec, const std::vector<Server*>& servers, TimePoint now);
+    bool planConnections(const std::vector<Server*>& usable, std::uint32_t limit, bool isEnoughForAll, TimePoint now);
+    Server* lend(const CollectionName& collection, const std::vector<const Server*>& avoided, std::uint32_t priority, TimePoint now) const;
 
     const DataCentreName m_dataCentre;
     const InstanceName m_self;
     policy::ConnectionShares m_shares;
+    policy::ConnectionPlan m_plan;
     std::unordered_map<std::string, std::unique_ptr<Server>> m_servers;
     std::map<CollectionName, std::vector<Server*>> m_collections;
 };
