--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -20,6 +20,10 @@
     };
     constexpr HedgeBounds kScatterHedge { 0.08, 0.4, 0.3 };
     constexpr HedgeBounds kSingleHedge { 0.25, 0.55, 0.5 };
+    // A hedge that leaves the data centre waits for this part of the time that remains until it must be sent to be in time.
+    constexpr double kWaitBeforeLeaving = 0.5;
+    // Usual time to open a connection.
+    constexpr Micros kConnectTime { 6'000 };
     // Range of the randomised Retry-After, so that refused callers do not all retry at once.
     constexpr Micros kMinimumRetryAfter { 50'000 };
     constexpr Micros kMaximumRetryAfter { 250'000 };
@@ -93,8 +97,20 @@
     m_scheduledEvaluations.push({ next, key });
 }
 
-// Sends the parts that are late to another server. A part that had to wait for a connection gets the hedge delay from the time at
-// which it was sent.
+// Returns when an attempt is hedged. A part that had to wait for a connection gets the hedge delay from the time at which it was sent. A
+// hedge that must leave the data centre for a connection that others may need is sent later if it can still be answered in time: most
+// attempts that are a little late need none.
+TimePoint Router::hedgeDueAt(const Request& request, const Attempt& attempt, Micros delay) const
+{
+    const TimePoint due = (attempt.connection ? attempt.sentAt : request.arrivedAt) + delay;
+    const Part& part = request.parts[attempt.part];
+    if (!attempt.server->isPlanned || m_servers.hasOtherAtHome(part.collection, part.tried))
+        return due;
+    const Micros untilLatest = std::chrono::duration_cast<Micros>(request.softDeadline - delay - kConnectTime - due);
+    return due + shareOf(std::max(Micros { 0 }, untilLatest), kWaitBeforeLeaving);
+}
+
+// Sends the parts that are late to another server.
 void Router::hedge(RequestKey key, Request& request)
 {
     const Micros delay = hedgeDelay(*request.route, request.profile->hedgeDelay);
@@ -105,8 +121,9 @@
         const Part& part = request.parts[index];
         if (part.state != PartState::Open || part.inFlight != 1 || part.tried.size() != 1)
             continue;
-        if (attempt.connection && m_now < attempt.sentAt + delay)
-            request.hedgeAt = std::min(request.hedgeAt, attempt.sentAt + delay);
+        const TimePoint due = hedgeDueAt(request, attempt, delay);
+        if (m_now < due)
+            request.hedgeAt = std::min(request.hedgeAt, due);
         else if (part.sent == 0)
             reassignWaiting(key, request, index);
         else
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -17,6 +17,11 @@
     constexpr double kConnectCostMicros = 6'000;
     // Traffic between data centres costs a longer round trip and is billed by the byte.
     constexpr double kCrossDataCentreCostMicros = 1'500;
+    // A request leaves its data centre for a connection that others may need only if it would otherwise be expected to use up this part of
+    // its slack, since the rest is for what the estimate does not foresee, and only if it gains this part of a typical duration. Estimates
+    // of equal servers differ by less.
+    constexpr double kSlackSpentAtHome = 0.2;
+    constexpr double kLeastGain = 0.3;
     // Usual length of a server's pause.
     constexpr double kPausedServerCostMicros = 90'000;
     // Makes a suspended server the last choice.
@@ -209,7 +214,7 @@
     if (estimate.isSuspect)
         micros += attemptsAhead * kEndangeredRequestCostMicros;
     if (server.record.dataCentre != m_dataCentre)
-        micros += kCrossDataCentreCostMicros;
+        micros += std::max(kCrossDataCentreCostMicros, server.isPlanned ? std::max(static_cast<double>(estimate.slack.count()) * kSlackSpentAtHome, typical * kLeastGain) : 0);
     if (server.health.isSuspended(now) || now < server.earliestConnectAt)
         micros += kSuspendedServerCostMicros;
     return micros;
