--- a/routing/server_table_connections.cpp
+++ b/routing/server_table_connections.cpp
@@ -106,6 +106,7 @@
     if (usable.empty() || m_shares.isFirstView())
         return false;
     std::vector<policy::ConnectionPlan::Server> servers;
+    servers.reserve(usable.size());
     for (const Server* server : usable)
         servers.push_back({ server->record.instance, server->record.dataCentre });
     const std::optional<std::vector<policy::ConnectionPlan::Allotment>> allotments = m_plan.allot(usable.front()->record.collection, limit, servers, now);
