--- a/control/control_follower.cpp
+++ b/control/control_follower.cpp
@@ -110,6 +110,7 @@
     }
     const ConfigurationVersion before = state().configuration.version;
     const std::uint64_t documentBefore = state().document.version;
+    const std::set<DataCentreName> evacuatedBefore = state().evacuatedDataCentres;
     m_stateMachine.restore(snapshot.state);
     m_commitIndex = snapshot.lastIndex;
     m_snapshotIndex = snapshot.lastIndex;
@@ -117,6 +118,7 @@
     m_pendingWrites.push_back({ writeJournal(std::move(write)), snapshot.lastIndex });
     log(kSnapshotInstalled, { { "index", fmt::to_string(snapshot.lastIndex) }, { "from", from } });
     reportDocumentChange(documentBefore);
+    reportEvacuationChange(evacuatedBefore);
     if (state().configuration.version != before)
         m_effects.emplace_back(ConfigurationCommitted { state().configuration });
     sendAppendReply(from, request.round, snapshot.lastIndex);
--- a/control/control_leader.cpp
+++ b/control/control_leader.cpp
@@ -21,6 +21,7 @@
         std::size_t operator()(const ClaimRequest& command) const { return command.requestId.size() + command.holder.size() + 16; }
         std::size_t operator()(const SettleClaimRequest& command) const { return command.requestId.size() + command.holder.size() + 8; }
         std::size_t operator()(const SetDocument& command) const { return command.content.size() + 16; }
+        std::size_t operator()(const SetEvacuation& command) const { return command.dataCentre.size() + 8; }
         std::size_t operator()(const ChangeMembers& command) const { return (command.voters.size() + command.learners.size()) * (kMaximumNameLength + 8); }
     };
 
--- a/control/control_reducer.cpp
+++ b/control/control_reducer.cpp
@@ -177,6 +177,7 @@
 {
     const ConfigurationVersion before = state().configuration.version;
     const std::uint64_t documentBefore = state().document.version;
+    const std::set<DataCentreName> evacuatedBefore = state().evacuatedDataCentres;
     while (m_commitIndex < index) {
         const LogEntry& entry = m_log.at(++m_commitIndex);
         const CommandResult result = m_stateMachine.apply(entry.command);
@@ -189,6 +190,7 @@
         m_pendingTokens.erase(token);
     }
     reportDocumentChange(documentBefore);
+    reportEvacuationChange(evacuatedBefore);
     if (state().configuration.version == before)
         return;
     log(kChangeAccepted, { { "version", fmt::to_string(state().configuration.version.value) } });
@@ -204,6 +206,15 @@
     m_effects.emplace_back(DocumentCommitted { version });
 }
 
+void ControlReducer::reportEvacuationChange(const std::set<DataCentreName>& before)
+{
+    const std::set<DataCentreName>& evacuated = state().evacuatedDataCentres;
+    if (evacuated == before)
+        return;
+    log(kEvacuationsAccepted, { { "evacuated", fmt::format("{}", fmt::join(evacuated, ",")) }, { "before", fmt::format("{}", fmt::join(before, ",")) }, { "index", fmt::to_string(m_commitIndex) } });
+    m_effects.emplace_back(EvacuationsCommitted {});
+}
+
 void ControlReducer::reportLeaderChange()
 {
     if (m_leader == m_reportedLeader && m_leaseHeld == m_reportedLease)
--- a/control/control_reducer.h
+++ b/control/control_reducer.h
@@ -125,6 +125,7 @@
     void respond(RequestToken token, CommandResult result);
     void advanceCommit(LogIndex index);
     void reportDocumentChange(std::uint64_t before);
+    void reportEvacuationChange(const std::set<DataCentreName>& before);
     void reportLeaderChange();
     void compactIfDue();
     const Members& members() const { return m_log.members(); }
--- a/control/events.h
+++ b/control/events.h
@@ -30,11 +30,13 @@
 
 inline constexpr EventDescription kNoLeader { 3022, "no_leader", Severity::Warning, "This replica has known no leader for a while. Repeated until there is one; says what this replica holds, whom it counts, and what became of its last request for votes." };
 
-inline constexpr std::array<const EventDescription*, 21> kControlEvents {
+inline constexpr EventDescription kEvacuationsAccepted { 3023, "evacuations_accepted", Severity::Information, "An order to evacuate a data centre, or to withdraw that, was committed; the fields name the data centres that are evacuated now and were before." };
+
+inline constexpr std::array<const EventDescription*, 22> kControlEvents {
     &kReplicaStarted, &kBecameLeader, &kSteppedDown, &kLeaseGained, &kLeaseLost, &kElectionStarted, &kVoteGranted, &kMembersChanged,
     &kRepairStarted, &kRepairCompleted, &kPeerRepairing, &kPeerRepaired, &kPeerRegressed, &kStorageFailed, &kStorageRestored,
     &kSnapshotTaken, &kSnapshotInstalled, &kProtocolViolation, &kChangeAccepted, &kDocumentAccepted,
-    &kNoLeader
+    &kNoLeader, &kEvacuationsAccepted
 };
 
 } // namespace curranttrail::control
--- a/control/messages.h
+++ b/control/messages.h
@@ -56,6 +56,12 @@
     std::string content;
 };
 
+// Orders that the backend servers of a data centre get no more requests, or withdraws that order. The last one committed is in force.
+struct SetEvacuation {
+    DataCentreName dataCentre;
+    bool isEvacuated = false;
+};
+
 // Sets the members of the control group. Each change adds, promotes or removes at most one replica.
 struct ChangeMembers {
     std::set<InstanceName> voters;
@@ -65,7 +71,7 @@
 // Commits the entries of earlier terms. The first entry of a term is of this kind.
 struct NoOperation { };
 
-using Command = std::variant<NoOperation, SetClass, ClaimRequest, SettleClaimRequest, ChangeMembers, SetDocument>;
+using Command = std::variant<NoOperation, SetClass, ClaimRequest, SettleClaimRequest, ChangeMembers, SetDocument, SetEvacuation>;
 
 struct LogEntry {
     Term term = 0;
@@ -147,6 +153,7 @@
 struct MachineState {
     OwnerConfiguration configuration;
     CommittedDocument document;
+    std::set<DataCentreName> evacuatedDataCentres;
     // Most recently applied changes, oldest first.
     std::deque<ChangeRecord> changes;
     std::map<std::string, Claim> claims;
@@ -306,6 +313,9 @@
     std::uint64_t version = 0;
 };
 
+// Other data centres than before are evacuated. The driver reads them from the committed state.
+struct EvacuationsCommitted { };
+
 // The known leader changed, or this replica gained or lost its lease.
 struct LeaderChanged {
     bool leads = false;
@@ -328,7 +338,7 @@
     { Role::Learner, "learner" },
 } };
 
-using Effect = std::variant<SendToPeer, WriteJournal, Respond, ConfigurationCommitted, DocumentCommitted, LeaderChanged, LogEvent>;
+using Effect = std::variant<SendToPeer, WriteJournal, Respond, ConfigurationCommitted, DocumentCommitted, EvacuationsCommitted, LeaderChanged, LogEvent>;
 
 // Health of another member as seen by the leader.
 struct MemberHealth {
--- a/control/serialization.cpp
+++ b/control/serialization.cpp
@@ -102,6 +102,12 @@
     archive(command.version, command.content);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, SetEvacuation& command)
+{
+    archive(command.dataCentre, command.isEvacuated);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, CommittedDocument& document)
 {
@@ -210,14 +216,46 @@
 using detail::decodeValue;
 using detail::encodeValue;
 
-std::string encodePeerMessage(const PeerMessage& message) { return encodeValue(message); }
+namespace {
+
+    // The evacuated data centres follow the value that holds the state and are left out if there are none, so that earlier builds read
+    // the state as long as none is evacuated.
+    std::string encodeEvacuations(const MachineState& state)
+    {
+        return state.evacuatedDataCentres.empty() ? std::string {} : encodeValue(state.evacuatedDataCentres);
+    }
+
+    // Returns false if the bytes are not what encodeEvacuations() returns.
+    bool decodeEvacuations(std::string_view bytes, MachineState& state)
+    {
+        if (bytes.empty())
+            return true;
+        std::optional<std::set<DataCentreName>> evacuated = decodeValue<std::set<DataCentreName>>(bytes, kMaximumMessageBytes);
+        if (!evacuated || evacuated->empty())
+            return false;
+        state.evacuatedDataCentres = std::move(*evacuated);
+        return true;
+    }
+
+} // namespace
+
+std::string encodePeerMessage(const PeerMessage& message)
+{
+    std::string bytes = encodeValue(message);
+    if (const InstallSnapshot* install = std::get_if<InstallSnapshot>(&message))
+        bytes += encodeEvacuations(install->snapshot.state);
+    return bytes;
+}
 
 std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
 {
-    std::optional<PeerMessage> message = decodeValue<PeerMessage>(bytes, kMaximumSnapshotBytes);
-    if (message && bytes.size() > kMaximumMessageBytes && !std::holds_alternative<InstallSnapshot>(*message))
+    std::string_view extension;
+    std::optional<PeerMessage> message = decodeValue<PeerMessage>(bytes, kMaximumSnapshotBytes, &extension);
+    if (!message)
         return std::nullopt;
-    return message;
+    if (InstallSnapshot* install = std::get_if<InstallSnapshot>(&*message))
+        return decodeEvacuations(extension, install->snapshot.state) ? std::move(message) : std::nullopt;
+    return extension.empty() && bytes.size() <= kMaximumMessageBytes ? std::move(message) : std::nullopt;
 }
 
 std::string encodeCommand(const Command& command) { return encodeValue(command); }
@@ -236,8 +274,13 @@
 
 std::optional<JournalRecord> decodeJournalRecord(std::string_view bytes) { return decodeValue<JournalRecord>(bytes, kMaximumSnapshotBytes); }
 
-std::string encodeSnapshotRecord(const SnapshotRecord& record) { return encodeValue(record); }
+std::string encodeSnapshotRecord(const SnapshotRecord& record) { return encodeValue(record) + encodeEvacuations(record.snapshot.state); }
 
-std::optional<SnapshotRecord> decodeSnapshotRecord(std::string_view bytes) { return decodeValue<SnapshotRecord>(bytes, kMaximumSnapshotBytes); }
+std::optional<SnapshotRecord> decodeSnapshotRecord(std::string_view bytes)
+{
+    std::string_view extension;
+    std::optional<SnapshotRecord> record = decodeValue<SnapshotRecord>(bytes, kMaximumSnapshotBytes, &extension);
+    return record && decodeEvacuations(extension, record->snapshot.state) ? std::move(record) : std::nullopt;
+}
 
 } // namespace curranttrail::control
--- a/control/serialization.h
+++ b/control/serialization.h
@@ -12,7 +12,8 @@
 // Decoders accept only complete input of the current version within the size limits, and return std::nullopt for any other input.
 namespace curranttrail::control {
 
-// Version 2 added the configuration document to the commands and the state.
+// Version 2 added the configuration document to the commands and the state. Commands and states without evacuated data centres are
+// encoded as before there were evacuations.
 inline constexpr std::uint8_t kFormatVersion = 2;
 // Limit for a command, a result or a peer message that carries no snapshot.
 inline constexpr std::size_t kMaximumMessageBytes = 4u << 20;
--- a/control/state_machine.cpp
+++ b/control/state_machine.cpp
@@ -32,6 +32,12 @@
         return !text.empty() && text.size() <= kMaximumNameLength && std::all_of(text.begin(), text.end(), [](char c) { return isNameCharacter(c) || c == '.' || c == ':'; });
     }
 
+    // The platform names the data centres, so capital letters are allowed as well.
+    bool isDataCentreName(const std::string& text)
+    {
+        return !text.empty() && text.size() <= kMaximumNameLength && std::all_of(text.begin(), text.end(), [](char c) { return isNameCharacter(c) || (c >= 'A' && c <= 'Z') || c == '.'; });
+    }
+
     bool areInstanceNames(const std::set<InstanceName>& names)
     {
         return std::all_of(names.begin(), names.end(), isInstanceName);
@@ -114,6 +120,11 @@
         return {};
     }
 
+    std::string commandError(const SetEvacuation& command, const OwnerName&)
+    {
+        return isDataCentreName(command.dataCentre) ? std::string {} : "the data centre's name is not 1 to 64 characters of [A-Za-z0-9._-]";
+    }
+
     CommandResult makeResult(CommandStatus status, std::string message = {})
     {
         CommandResult result;
@@ -288,6 +299,18 @@
     return result;
 }
 
+CommandResult StateMachine::applyCommand(const SetEvacuation& command)
+{
+    std::set<DataCentreName>& evacuated = m_state.evacuatedDataCentres;
+    if (!command.isEvacuated)
+        evacuated.erase(command.dataCentre);
+    else if (evacuated.size() < kMaximumEvacuations || evacuated.contains(command.dataCentre))
+        evacuated.insert(command.dataCentre);
+    else
+        return makeResult(CommandStatus::Invalid, "too many data centres are evacuated");
+    return makeResult(CommandStatus::Accepted);
+}
+
 void StateMachine::dropExpiredClaims()
 {
     while (!m_claimExpiry.empty() && m_claimExpiry.begin()->first < m_state.latestProposalTime) {
--- a/control/state_machine.h
+++ b/control/state_machine.h
@@ -12,6 +12,7 @@
 inline constexpr std::size_t kMaximumMembers = 32;
 // A document is one log entry and must fit into one message between replicas.
 inline constexpr std::size_t kMaximumDocumentBytes = 2u << 20;
+inline constexpr std::size_t kMaximumEvacuations = 256;
 inline constexpr std::size_t kMaximumNameLength = 64;
 inline constexpr std::size_t kMaximumIdLength = 128;
 inline constexpr std::size_t kMaximumHolderLength = 256;
@@ -46,6 +47,7 @@
     CommandResult applyCommand(const SettleClaimRequest& command);
     CommandResult applyCommand(const ChangeMembers& command);
     CommandResult applyCommand(const SetDocument& command);
+    CommandResult applyCommand(const SetEvacuation& command);
     CommandResult changeClass(const SetClass& command);
     CommandResult handleRepeatedClaim(Claim& claim, const ClaimRequest& command);
     void dropExpiredClaims();
--- a/tests/control/final_fault_test.cpp
+++ b/tests/control/final_fault_test.cpp
@@ -1,5 +1,6 @@
 #include "core/enum_names.h"
 #include "tests/control/document_workload.h"
+#include "tests/control/evacuation_workload.h"
 #include "tests/control/member_change_driver.h"
 
 #include <boost/test/unit_test.hpp>
@@ -95,6 +96,8 @@
             return "not all replicas became voters " + m_simulation.violation();
         DocumentWorkload workload(m_simulation);
         workload.start(randomDuration(20'000, 200'000));
+        EvacuationWorkload evacuations(m_simulation);
+        evacuations.start(Micros { 150'000 });
         m_simulation.runFor(randomDuration(200'000, 1'500'000));
         reach(step);
         if (step != Step::LeaderLeaves && m_simulation.randomBelow(2) == 0) {
@@ -102,10 +105,12 @@
             m_simulation.runUntil([&] { return workload.acknowledged() > acknowledged; }, Micros { 300'000 });
         }
         workload.stop();
+        evacuations.stop();
         strike(fault);
-        if (!m_simulation.runUntil([&] { return m_simulation.leader() && workload.settled(); }, kRecoveryTime))
+        if (!m_simulation.runUntil([&] { return m_simulation.leader() && workload.settled() && evacuations.settled(); }, kRecoveryTime))
             return m_simulation.violation().empty() ? "no leader after " + m_history : m_simulation.violation();
         workload.checkCommittedDocument(*m_simulation.leader());
+        evacuations.check(*m_simulation.leader());
         return m_simulation.violation();
     }
 
