Send the servers of evacuated data centres no requests

cause: the router knows servers that leave, but no data centre that is to be left alone. change: the event EvacuationsChanged, EvacuationSet in the server table and Server::isEvacuated, which acceptsWork() checks for all paths; waiting attempts move, idle connections close, running attempts finish, canRelayTo() refuses; the quotas of the other servers are recomputed before the attempts move. After a withdrawal an instance uses the servers again after a random time of up to 1.5 s.

--- a/routing/events.h
+++ b/routing/events.h
@@ -37,6 +37,9 @@
     inline constexpr EventDescription kServersReachedAgain { 8061, "servers_reached_again", Severity::Information, "This instance reaches servers again; connections are opened directly from now on." };
     inline constexpr EventDescription kRelayFailed { 8062, "relay_failed", Severity::Information, "Another entry instance could not be reached or refused to relay a connection; it is not asked for a while." };
     inline constexpr EventDescription kStopScheduled { 8070, "stop_scheduled", Severity::Information, "The process ends after the given time; requests that are not expected to be answered before it are refused." };
+    inline constexpr EventDescription kEvacuationApplied { 8090, "evacuation_applied", Severity::Information, "Operators ordered the evacuation of a data centre; its servers get no new work from this instance, and the fields count them and the attempts that still run on them." };
+    inline constexpr EventDescription kEvacuationWithdrawn { 8091, "evacuation_withdrawn", Severity::Information, "The evacuation of a data centre was withdrawn; its servers get new work from this instance after a short random delay." };
+    inline constexpr EventDescription kEvacuationEnded { 8092, "evacuation_ended", Severity::Information, "The servers of a data centre whose evacuation was withdrawn get new work from this instance again." };
     inline constexpr EventDescription kDocumentApplied { 8030, "document_applied", Severity::Information, "This instance applied a newer version of the route document." };
     inline constexpr EventDescription kInstancesChanged { 8031, "instances_changed", Severity::Information, "The number of entry instances changed; this instance's share of connections and additional attempts is updated." };
 
@@ -71,6 +74,9 @@
     &events::kServersReachedAgain,
     &events::kRelayFailed,
     &events::kStopScheduled,
+    &events::kEvacuationApplied,
+    &events::kEvacuationWithdrawn,
+    &events::kEvacuationEnded,
     &events::kDocumentApplied,
     &events::kInstancesChanged,
 };
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -153,6 +153,11 @@
     Micros age { 0 };
 };
 
+// The data centres whose servers get no new work, as ordered by operators.
+struct EvacuationsChanged {
+    std::vector<DataCentreName> dataCentres;
+};
+
 // A control leader with a valid lease replied: the route document and the server list that this instance holds are in force.
 struct ControlContacted {
     // Time since the reply.
@@ -182,7 +187,7 @@
 struct Tick { };
 
 using Event = std::variant<RequestArrived, CallerDisconnected, ConnectionOpened, ConnectionLost, AttemptReplied, AttemptConnectionLost, RouteDocumentUpdated,
-    ServerListReceived, ServerListDeltaReceived, ServersLeaving, ControlContacted, CrashRecordsReceived, EntryInstancesChanged, RelaysChanged, StopScheduled, Tick>;
+    ServerListReceived, ServerListDeltaReceived, ServersLeaving, EvacuationsChanged, ControlContacted, CrashRecordsReceived, EntryInstancesChanged, RelaysChanged, StopScheduled, Tick>;
 
 // ---- Effects ----
 
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -336,6 +336,8 @@
     closeSharedIdleConnections();
     m_crashes.expire(m_now);
     checkReach();
+    if (!m_servers.evacuations().isEmpty())
+        endEvacuations();
     const ServerTable::Changes changes = m_servers.evictRetired(m_now);
     logNewServers(changes, Micros { 0 });
     if (m_servers.expireShares(m_now) || !changes.added.empty())
--- a/routing/router.h
+++ b/routing/router.h
@@ -72,6 +72,10 @@
     std::size_t requestsInFlight() const { return m_requests.size(); }
     const RouterCounters& counters() const { return m_counters; }
     const ServerTable& servers() const { return m_servers; }
+    // Returns whether a server at the address is in an evacuated data centre.
+    bool isEvacuated(const std::string& address) const;
+    // Number of sent attempts that servers of evacuated data centres have not answered.
+    std::size_t attemptsToEvacuated() const;
     // The requests under which servers ended, to be shared with the other instances.
     const policy::CrashTable& crashes() const { return m_crashes; }
     // Returns whether this instance may open a connection to the address for another one: it is that of a server, which is reached.
@@ -321,6 +325,10 @@
     bool hasRelayLeft(const Connection& connection) const;
     void relayFailed(const Connection& connection, std::string_view reason);
 
+    // router_evacuations.cpp: data centres whose servers get no requests
+    void on(const EvacuationsChanged& event);
+    void endEvacuations();
+
     // router_stop.cpp: the end of this process
     bool isStopping() const { return m_endsAt != kNever; }
     TimePoint lastAnswerAt() const;
--- a/routing/router_relays.cpp
+++ b/routing/router_relays.cpp
@@ -145,7 +145,7 @@
 
 bool Router::canRelayTo(const std::string& address) const
 {
-    return !isRelaying() && std::any_of(m_servers.all().begin(), m_servers.all().end(), [&](const auto& entry) { return entry.second->record.address == address && !entry.second->saysLeaving; });
+    return !isRelaying() && std::any_of(m_servers.all().begin(), m_servers.all().end(), [&](const auto& entry) { return entry.second->record.address == address && !entry.second->saysLeaving && !entry.second->isEvacuated; });
 }
 
 // A relay could not be reached, or refused to open the connection. That says nothing about the server.
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -135,6 +135,7 @@
         m_servers.emplace(record.instance, std::move(created));
         m_collections[record.collection].push_back(server);
         server->coldUntil = now + record.coldStartRemaining - age;
+        server->isEvacuated = m_evacuations.contains(record.dataCentre);
         changes.added.push_back(server);
         if (record.leaving)
             changes.leaving.push_back(server);
@@ -172,6 +173,18 @@
     return changes;
 }
 
+std::vector<Server*> ServerTable::applyEvacuations()
+{
+    std::vector<Server*> withdrawn;
+    for (const auto& [instance, server] : m_servers) {
+        const bool acceptedWork = server->acceptsWork();
+        server->isEvacuated = m_evacuations.contains(server->record.dataCentre);
+        if (acceptedWork && !server->acceptsWork())
+            withdrawn.push_back(server.get());
+    }
+    return withdrawn;
+}
+
 bool ServerTable::setInstances(std::vector<InstanceName> instances, TimePoint now)
 {
     const std::uint32_t before = m_shares.instanceCount();
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -7,6 +7,7 @@
 #include "policy/recent_maximum.h"
 #include "policy/server_health.h"
 #include "policy/server_rate_limit.h"
+#include "routing/evacuation_set.h"
 #include "routing/messages.h"
 #include "routing/server_quality.h"
 
@@ -33,6 +34,8 @@
     // Set once a reply of the server has stated that it leaves. A list that still names it as good is older, or made without asking it, so
     // that this holds as long as the list names this incarnation.
     bool saysLeaving = false;
+    // True while the server's data centre is evacuated.
+    bool isEvacuated = false;
     // Set once the server left the list or another incarnation answered at its address.
     bool isRetired = false;
     // Time at which another incarnation answered or the listed address changed.
@@ -86,7 +89,7 @@
     std::optional<std::size_t> idleConnectionLimit;
 
     void retire(TimePoint now);
-    bool acceptsWork() const { return !isRetired && !record.leaving && !saysLeaving; }
+    bool acceptsWork() const { return !isRetired && !record.leaving && !saysLeaving && !isEvacuated; }
     // Returns whether the server has sent nothing since an attempt that was sent some time ago.
     bool isSilent(TimePoint now) const;
     void recordDuration(std::size_t profile, Micros duration, TimePoint now);
@@ -139,6 +142,10 @@
     Changes apply(const ServerListDelta& delta, Micros age, TimePoint now);
     // Withdraws the servers that leave, until a list names them otherwise.
     Changes markLeaving(const std::vector<std::string>& instances);
+    // The evacuated data centres. A change is followed by applyEvacuations(), which returns the servers that no longer accept new work.
+    EvacuationSet& evacuations() { return m_evacuations; }
+    const EvacuationSet& evacuations() const { return m_evacuations; }
+    std::vector<Server*> applyEvacuations();
     // Sets the known entry instances. Returns whether their number changed.
     bool setInstances(std::vector<InstanceName> instances, TimePoint now);
     // Recomputes how many connections this instance may hold to each server.
@@ -184,6 +191,7 @@
     policy::ConnectionShares m_shares;
     std::unordered_map<std::string, std::unique_ptr<Server>> m_servers;
     std::map<CollectionName, std::vector<Server*>> m_collections;
+    EvacuationSet m_evacuations;
 };
 
 } // namespace curranttrail::routing
--- a/tests/routing/router_harness.h
+++ b/tests/routing/router_harness.h
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -57,7 +58,8 @@
 
     void addServer(const std::string& instance, const CollectionName& collection)
     {
-        serverList.push_back({ instance, collection, fmt::format("10.0.0.{}:80", serverList.size() + 1), "dc-a", 2, false, Micros { 0 } });
+        const auto dataCentre = dataCentres.find(instance);
+        serverList.push_back({ instance, collection, fmt::format("10.0.0.{}:80", serverList.size() + 1), dataCentre == dataCentres.end() ? "dc-a" : dataCentre->second, 2, false, Micros { 0 } });
     }
 
     const std::string& addressOf(std::string_view instance) const
@@ -136,6 +138,8 @@
     TimePoint now { Micros { 1'000'000 } };
     std::shared_ptr<RouteDocument> document;
     ServerList serverList;
+    // Data centres of servers that are added; dc-a for the others.
+    std::map<std::string, DataCentreName> dataCentres;
     std::vector<Effect> effects;
     std::vector<SendAttempt> sent;
     std::vector<ConnectionId> openingConnections;
