Let relays close connections whose servers get no more requests

cause: an entry instance that is cut off from the control group may send requests to evacuated servers through a connection that another instance has opened for it, and that instance knows better. change: RelayServer asks a permission at the first bytes that follow an answer, and closes connections that wait for no answer on closeForbidden().

--- a/tests/transport/relay_test.cpp
+++ b/tests/transport/relay_test.cpp
@@ -123,6 +123,38 @@
     BOOST_TEST(fixture.reaches("relay failed: Connection refused"));
 }
 
+// Another instance goes on sending requests through a connection whose server gets none any more. Guards against requests that reach the
+// server, and against a request that is cut off while the server works on it.
+BOOST_AUTO_TEST_CASE(AServerThatGetsNoMoreRequestsFinishesTheRunningOne)
+{
+    RelayFixture fixture;
+    bool mayRequest = true;
+    fixture.relay.setRequestPermission([&](const std::string&) { return mayRequest; });
+    fixture.open();
+    BOOST_TEST_REQUIRE(fixture.reaches("opened"));
+    fixture.client.send({ 1 }, "GET /wait HTTP/1.1\r\nHost: x\r\n\r\n", true);
+    BOOST_TEST_REQUIRE(fixture.reaches("arrived"));
+    mayRequest = false;
+    fixture.relay.closeForbidden();
+    BOOST_TEST(fixture.relay.connections() == 1u);
+    fixture.server.respond(fixture.lastExchange, { 200, {}, "done" });
+    BOOST_TEST_REQUIRE(fixture.reaches("replied"));
+    BOOST_TEST(fixture.body == "done");
+    fixture.client.send({ 1 }, "GET /echo HTTP/1.1\r\nHost: x\r\n\r\n", true);
+    fixture.outcome.clear();
+    BOOST_TEST(fixture.reaches("failed"), fixture.outcome);
+    BOOST_TEST(fixture.relay.connections() == 0u);
+
+    mayRequest = true;
+    fixture.client.openThroughRelay({ 2 }, fmt::format("127.0.0.1:{}", fixture.server.port()), fmt::format("127.0.0.1:{}", fixture.relay.port()), kKey);
+    BOOST_TEST_REQUIRE(fixture.reaches("opened"));
+    fixture.relay.closeForbidden();
+    BOOST_TEST(fixture.relay.connections() == 1u);
+    mayRequest = false;
+    fixture.relay.closeForbidden();
+    BOOST_TEST(fixture.relay.connections() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(MalformedHeadsAreRefused)
 {
     const std::string request = relayRequest(kKey, "10.0.0.1:80");
--- a/transport/relay_server.cpp
+++ b/transport/relay_server.cpp
@@ -31,6 +31,9 @@
 } // namespace
 
 class RelayServer::Impl : public std::enable_shared_from_this<Impl> {
+    struct Session;
+    using SessionPointer = std::shared_ptr<Session>;
+
 public:
     Impl(asio::io_context& context, const Endpoint& bind, std::string key, Permission permission)
         : m_context(context)
@@ -69,10 +72,22 @@
         m_acceptor.close(ec);
     }
 
+    void setRequestPermission(Permission permission) { m_requestPermission = std::move(permission); }
+
+    void closeForbidden()
+    {
+        const std::set<SessionPointer> sessions = m_sessions;
+        for (const SessionPointer& session : sessions) {
+            if (!session->awaitsAnswer && !mayRequest(*session))
+                end(session, false);
+        }
+    }
+
     void stop()
     {
         stopAccepting();
         m_permission = {};
+        m_requestPermission = {};
         for (const std::shared_ptr<Session>& session : std::exchange(m_sessions, {}))
             session->close(true);
     }
@@ -110,9 +125,13 @@
         std::array<char, kBufferBytes> toServer {};
         std::array<char, kBufferBytes> toInstance {};
         bool isClosed = false;
+        // Address of the server; empty until the connection to it is open.
+        std::string address;
+        // True if the last bytes came from the instance.
+        bool awaitsAnswer = false;
     };
 
-    using SessionPointer = std::shared_ptr<Session>;
+    bool mayRequest(const Session& session) const { return session.address.empty() || !m_requestPermission || m_requestPermission(session.address); }
 
     void begin(Tcp::socket socket)
     {
@@ -156,7 +175,7 @@
         }
         error_code ec;
         const Tcp::endpoint target(asio::ip::make_address(endpoint->address, ec), endpoint->port);
-        session->server.async_connect(target, [self = shared_from_this(), session](const error_code& connectError) {
+        session->server.async_connect(target, [self = shared_from_this(), session, address = *address](const error_code& connectError) {
             if (session->isClosed)
                 return;
             if (connectError) {
@@ -164,6 +183,7 @@
                 return;
             }
             prepare(session->server);
+            session->address = address;
             self->answer(session, kRelayOpened, [self, session] {
                 session->timer.cancel();
                 self->pass(session, session->instance, session->server, session->toServer);
@@ -200,6 +220,13 @@
                 self->end(session, ec != asio::error::eof);
                 return;
             }
+            const bool isFromInstance = &from == &session->instance;
+            // More bytes of a request that has begun are passed on.
+            if (isFromInstance && !session->awaitsAnswer && !self->mayRequest(*session)) {
+                self->end(session, true);
+                return;
+            }
+            session->awaitsAnswer = isFromInstance;
             asio::async_write(to, asio::buffer(buffer.data(), size), [self, session, &from, &to, &buffer](const error_code& writeError, std::size_t) {
                 if (session->isClosed)
                     return;
@@ -221,6 +248,7 @@
     Tcp::acceptor m_acceptor;
     const std::string m_key;
     Permission m_permission;
+    Permission m_requestPermission;
     std::set<SessionPointer> m_sessions;
 };
 
@@ -232,6 +260,8 @@
 
 RelayServer::~RelayServer() { m_impl->stop(); }
 std::uint16_t RelayServer::port() const { return m_impl->port(); }
+void RelayServer::setRequestPermission(Permission permission) { m_impl->setRequestPermission(std::move(permission)); }
+void RelayServer::closeForbidden() { m_impl->closeForbidden(); }
 void RelayServer::stopAccepting() { m_impl->stopAccepting(); }
 std::size_t RelayServer::connections() const { return m_impl->connections(); }
 
--- a/transport/relay_server.h
+++ b/transport/relay_server.h
@@ -25,6 +25,10 @@
     RelayServer(const RelayServer&) = delete;
     RelayServer& operator=(const RelayServer&) = delete;
 
+    // The function returns whether the server at an address may get a request now. A connection that is used for another one is closed.
+    void setRequestPermission(Permission permission);
+    // Closes the connections to servers that may get no requests, unless they wait for an answer.
+    void closeForbidden();
     std::uint16_t port() const;
     // Takes no more connections. Those that are open stay.
     void stopAccepting();
