Take orders to evacuate a data centre and tell entry instances

cause: POST and DELETE of an evacuation were answered 404. change: EvacuationApi on coordinators (2xx after the majority synced it, 307 to the leader with the path kept, 503 with Retry-After without one, 400 only for a malformed name; GET lists them); the leader's watch replies carry the evacuated data centres in the place of the leaving servers, which leaders do not name, so that earlier builds decode them; the gateway applies them before the rest of the reply. Pending watches are answered at once. The command line gets evacuation list, order and withdraw.

--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -126,11 +126,17 @@
 std::string encodeWatch(const WatchRequest& message) { return detail::encodeValue(message); }
 std::optional<WatchRequest> decodeWatch(std::string_view bytes) { return detail::decodeValue<WatchRequest>(bytes, kMaximumRequestBytes); }
 
+bool readsExtension(const WatchRequest& request)
+{
+    return (request.documentVersion & kFetchesDocumentBit) != 0 || (request.entryListVersion.revision & kReadsExtensionBit) != 0;
+}
+
 std::string encodeWatchReply(const WatchReply& message)
 {
     std::string bytes = detail::encodeValue(message);
-    if (!message.leavingServers.empty())
-        bytes += detail::encodeValue(message.leavingServers);
+    const std::vector<std::string>& extension = message.leads ? message.evacuatedDataCentres : message.leavingServers;
+    if (!extension.empty())
+        bytes += detail::encodeValue(extension);
     return bytes;
 }
 
@@ -140,10 +146,10 @@
     std::optional<WatchReply> reply = detail::decodeValue<WatchReply>(bytes, kMaximumReplyBytes, &extension);
     if (!reply || extension.empty())
         return reply;
-    std::optional<std::vector<std::string>> leavingServers = detail::decodeValue<std::vector<std::string>>(extension, kMaximumReplyBytes);
-    if (!leavingServers)
+    std::optional<std::vector<std::string>> names = detail::decodeValue<std::vector<std::string>>(extension, kMaximumReplyBytes);
+    if (!names)
         return std::nullopt;
-    reply->leavingServers = std::move(*leavingServers);
+    (reply->leads ? reply->evacuatedDataCentres : reply->leavingServers) = std::move(*names);
     return reply;
 }
 
--- a/control/feed.h
+++ b/control/feed.h
@@ -80,18 +80,26 @@
 // heard of. To a leader that does not know the bit, the sender holds a newer document than any, so that the leader sends none.
 inline constexpr std::uint64_t kFetchesDocumentBit = 1ull << 63;
 
+// Set in the revision of the entry list in a watch request whose sender decodes what follows the members of a reply, but fetches no document
+// in parts: kFetchesDocumentBit says both. An earlier build takes it for the version of another list and sends its own.
+inline constexpr std::uint64_t kReadsExtensionBit = 1ull << 63;
+
 // Sent by an entry instance, with the versions that it holds.
 struct WatchRequest {
     EntryInstance instance;
     // See kFetchesDocumentBit.
     std::uint64_t documentVersion = 0;
     ListVersion serverListVersion;
+    // See kReadsExtensionBit.
     ListVersion entryListVersion;
     ListVersion crashVersion;
     // What the leader may not know yet.
     std::vector<CrashReport> crashes;
 };
 
+// Returns whether the sender decodes what follows the members of a reply.
+bool readsExtension(const WatchRequest& request);
+
 struct WatchReply {
     // True if the sender is the leader and holds a valid lease, so that no newer document is in force.
     bool leads = false;
@@ -112,8 +120,11 @@
     Micros serverListAge { 0 };
     // Instance ids of the servers that leave according to a list which the sender fetched because it knows no leader. The list may be
     // older than one that a leader published, so it says nothing of the other servers. Encoded after the other members, and only sent to
-    // requesters that set kFetchesDocumentBit: earlier builds refuse a reply with more than they know.
+    // requesters for which readsExtension() holds: earlier builds refuse a reply with more than they know.
     std::vector<std::string> leavingServers;
+    // All data centres that are evacuated. Said by leaders only and encoded in the place of the leaving servers, which leaders do not name:
+    // earlier builds decode such a reply and use no leaving servers of a leader.
+    std::vector<DataCentreName> evacuatedDataCentres;
     // Reports that changed since the requester's version. The version is that of the last one included.
     ListVersion crashVersion;
     std::vector<CrashReport> crashes;
--- a/main/cli_commands.h
+++ b/main/cli_commands.h
@@ -44,6 +44,10 @@
 CliExit listCrashes(const transport::Endpoint& coordinator, CliOutput output);
 CliExit releaseRequest(const transport::Endpoint& coordinator, const std::string& fingerprint, CliOutput output);
 
+// Shows the evacuated data centres, orders the evacuation of one or withdraws it. An order may be repeated.
+CliExit listEvacuations(const transport::Endpoint& coordinator, CliOutput output);
+CliExit orderEvacuation(const transport::Endpoint& coordinator, const DataCentreName& dataCentre, bool isEvacuated, CliOutput output);
+
 struct TimelineOptions {
     TimelineFilter filter;
     // Log files; if there are none, the events are fetched from all instances in the settings.
--- a/main/cli_crashes.cpp
+++ b/main/cli_crashes.cpp
@@ -1,5 +1,4 @@
-#include "main/cli_commands.h"
-#include "main/cli_http.h"
+#include "main/cli_leader.h"
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
@@ -11,33 +10,6 @@
 namespace json = boost::json;
 
 namespace {
-    constexpr std::chrono::milliseconds kTimeout { 5'000 };
-
-    // The leader's answer, or nothing after a message to the operator.
-    std::optional<json::object> askLeader(transport::Endpoint coordinator, const std::string& method, const std::string& path, CliOutput output, CliExit& exit)
-    {
-        transport::HttpRequest request;
-        request.method = method;
-        request.path = path;
-        HttpReply reply = requestOnce(coordinator, request, kTimeout);
-        if (reply.status == 307 && !reply.location.empty()) {
-            const std::string_view location { reply.location };
-            constexpr std::string_view scheme = "http://";
-            const std::string_view authority = location.substr(location.starts_with(scheme) ? scheme.size() : 0);
-            if (const std::optional<transport::Endpoint> leader = transport::parseEndpoint(authority.substr(0, authority.find('/')))) {
-                coordinator = *leader;
-                reply = requestOnce(coordinator, request, kTimeout);
-            }
-        }
-        exit = reply.outcome == HttpOutcome::Answered ? CliExit::Refused : CliExit::Unreachable;
-        boost::system::error_code ec;
-        const json::value body = json::parse(reply.body, ec);
-        if (reply.status == 200 && !ec && body.is_object())
-            return body.get_object();
-        output.err << fmt::format("{}: {}\n", coordinator.text(), reply.error.empty() ? fmt::format("{} {}", reply.status, reply.body) : reply.error);
-        return std::nullopt;
-    }
-
     std::string crashLine(const json::object& request)
     {
         std::string line = fmt::format("{}  {}  last arrival {} s ago\n", textIn(request, "fingerprint"), textIn(request, "standing"), numberIn(request, "arrival_age_ms") / 1000);
--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -87,7 +87,10 @@
         return;
     m_crashes.fill(m_nextWatch, transport::monotonicNow());
     m_nextWatch.documentVersion = m_sendsParts ? m_transfer.announced() | control::kFetchesDocumentBit : m_transfer.received();
-    m_client->request(static_cast<std::uint16_t>(transport::MessageType::Watch), control::encodeWatch(m_nextWatch), m_following ? kWatchTimeout : kFirstWatchTimeout,
+    control::WatchRequest request = m_nextWatch;
+    if (!m_sendsParts)
+        request.entryListVersion.revision |= control::kReadsExtensionBit;
+    m_client->request(static_cast<std::uint16_t>(transport::MessageType::Watch), control::encodeWatch(request), m_following ? kWatchTimeout : kFirstWatchTimeout,
         [this](const transport::RequestResult& result) {
             if (m_handlers.reply)
                 handleResult(result);
--- a/main/control_runtime.cpp
+++ b/main/control_runtime.cpp
@@ -174,6 +174,9 @@
     } else if (const control::DocumentCommitted* document = std::get_if<control::DocumentCommitted>(&effect)) {
         if (m_onDocument)
             m_onDocument(document->version);
+    } else if (std::holds_alternative<control::EvacuationsCommitted>(effect)) {
+        if (m_onEvacuations)
+            m_onEvacuations();
     } else if (const control::LeaderChanged* change = std::get_if<control::LeaderChanged>(&effect)) {
         if (m_onLeader)
             m_onLeader(*change);
--- a/main/control_runtime.h
+++ b/main/control_runtime.h
@@ -43,6 +43,8 @@
     void view(View function);
     // Called on the control thread when a higher document version is committed. Set before start().
     void onDocument(std::function<void(std::uint64_t version)> callback) { m_onDocument = std::move(callback); }
+    // Called on the control thread when other data centres than before are evacuated. Set before start().
+    void onEvacuations(std::function<void()> callback) { m_onEvacuations = std::move(callback); }
     // Called on the control thread when another replica leads or when this one's lease begins or ends. Set before start().
     void onLeader(std::function<void(const control::LeaderChanged& change)> callback) { m_onLeader = std::move(callback); }
 
@@ -77,6 +79,7 @@
     std::uint64_t m_lastToken = 0;
     std::map<std::uint64_t, ResultCallback> m_callbacks;
     std::function<void(std::uint64_t)> m_onDocument;
+    std::function<void()> m_onEvacuations;
     std::function<void(const control::LeaderChanged&)> m_onLeader;
 };
 
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -8,6 +8,7 @@
 #include "main/crash_api.h"
 #include "main/document_api.h"
 #include "main/document_publisher.h"
+#include "main/evacuation_api.h"
 #include "main/events.h"
 #include "main/feed_events.h"
 #include "main/feed_publisher.h"
@@ -61,12 +62,14 @@
         , documentPublisher(links.loop(), runtime)
         , poller(threads, settings.serverList, settings.listCallsPerSecond, sink, [this](routing::ServerList servers, TimePoint fetchStartedAt) { publish(std::move(servers), fetchStartedAt); })
         , api(runtime, sink, settings.http.port)
+        , evacuationApi(runtime, links.loop(), publisher, sink, settings.http.port)
         , crashApi(runtime, links.loop(), publisher, sink, settings.http.port)
         , seeds(settings.groupConnection.seeds)
         , serverList(settings.serverList)
         , listCallsPerSecond(settings.listCallsPerSecond)
     {
         api.addRoutes(router);
+        evacuationApi.addRoutes(router);
         crashApi.addRoutes(router);
         transport::HttpServerOptions options;
         options.bind = settings.http;
@@ -118,7 +121,8 @@
             if (change.leads)
                 checkGroup();
         });
-        runtime.onDocument([this](std::uint64_t) { publisher.documentChanged(); });
+        runtime.onDocument([this](std::uint64_t) { publisher.committedStateChanged(); });
+        runtime.onEvacuations([this] { publisher.committedStateChanged(); });
         runtime.start();
         links.start(std::move(handlers));
         scheduleTick();
@@ -144,6 +148,7 @@
     {
         const control::ReplicaStatus status = reducer.status(now);
         updateMetrics(status);
+        metrics.gauge("curranttrail_evacuated_data_centres", "Data centres whose servers get no requests, as far as this replica knows.").set(static_cast<double>(reducer.state().evacuatedDataCentres.size()));
         control::GroupStatus groupStatus { self, status.voters, status.learners, reducer.memberHealth(now), reducer.membersRecorded(), reducer.membersCommitted() };
         links.loop().post([this, status, groupStatus = std::move(groupStatus)] { manageGroup(status, groupStatus); });
     }
@@ -361,6 +366,7 @@
     DocumentPublisher documentPublisher;
     ServerListPoller poller;
     DocumentApi api;
+    EvacuationApi evacuationApi;
     CrashApi crashApi;
     // Settings that may change while the process runs.
     std::vector<transport::Endpoint> seeds;
--- a/main/crash_api.cpp
+++ b/main/crash_api.cpp
@@ -1,6 +1,7 @@
 #include "main/crash_api.h"
 
 #include "main/feed_events.h"
+#include "main/leader_redirect.h"
 #include "policy/crash_table.h"
 
 #include <boost/json.hpp>
@@ -15,14 +16,6 @@
 namespace {
     constexpr std::string_view kPath = "/v1/crashes";
 
-    transport::HttpResponse refusal(unsigned status, std::string_view error, std::string_view message)
-    {
-        transport::HttpResponse response;
-        response.status = status;
-        response.body = transport::refusalBody(error, "not_run", message);
-        return response;
-    }
-
     std::int64_t ageMillis(TimePoint time, TimePoint now)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count();
@@ -67,11 +60,7 @@
             m_loop.post([responder, answer] { responder.send(answer()); });
             return;
         }
-        const std::optional<transport::Endpoint> leader = status.role != control::Role::Leader && status.leader ? transport::parseEndpoint(*status.leader) : std::nullopt;
-        transport::HttpResponse response = leader ? refusal(307, "not_leader", "another control instance is the leader") : refusal(503, "no_leader", "no leader is known at present");
-        if (leader)
-            response.fields.emplace_back("Location", fmt::format("http://{}:{}{}", leader->address, m_port, path));
-        responder.send(std::move(response));
+        responder.send(redirectToLeader(status.role == control::Role::Leader ? std::nullopt : status.leader, m_port, path));
     });
 }
 
--- a/main/document_api.cpp
+++ b/main/document_api.cpp
@@ -1,6 +1,7 @@
 #include "main/document_api.h"
 
 #include "main/feed_events.h"
+#include "main/leader_redirect.h"
 #include "platform/http_names.h"
 #include "platform/route_document_json.h"
 
@@ -10,17 +11,6 @@
 
 namespace {
 
-    // A leader is usually elected within this time.
-    constexpr std::string_view kRetryAfterSeconds = "0.5";
-
-    transport::HttpResponse refusal(unsigned status, std::string_view error, std::string_view message, Verdict verdict = Verdict::NotRun)
-    {
-        transport::HttpResponse response;
-        response.status = status;
-        response.body = transport::refusalBody(error, nameOf(kVerdictNames, verdict), message);
-        return response;
-    }
-
     transport::HttpResponse accepted(std::uint64_t version)
     {
         transport::HttpResponse response;
@@ -44,20 +34,6 @@
     router.add("GET", path, [this](const transport::HttpRequest&, const transport::Responder& responder) { get(responder); });
 }
 
-// Returns a redirect to the leader, or a refusal to be retried later if no leader is known.
-transport::HttpResponse DocumentApi::redirectToLeader(const std::optional<InstanceName>& leader) const
-{
-    const std::optional<transport::Endpoint> endpoint = leader ? transport::parseEndpoint(*leader) : std::nullopt;
-    if (endpoint) {
-        transport::HttpResponse response = refusal(307, "not_leader", "another control instance is the leader");
-        response.fields.emplace_back("Location", fmt::format("http://{}:{}{}", endpoint->address, m_port, platform::kConfigurationPath));
-        return response;
-    }
-    transport::HttpResponse response = refusal(503, "no_leader", "no leader is known at present");
-    response.fields.emplace_back("Retry-After", std::string { kRetryAfterSeconds });
-    return response;
-}
-
 void DocumentApi::put(const transport::HttpRequest& request, const transport::Responder& responder)
 {
     std::variant<routing::RouteDocument, platform::DecodeError> decoded = platform::decodeRouteDocument(request.body);
@@ -74,7 +50,7 @@
         if (result.status == control::CommandStatus::Accepted)
             response = accepted(version);
         else if (result.status == control::CommandStatus::NotLeader)
-            response = redirectToLeader(result.leader);
+            response = redirectToLeader(result.leader, m_port, platform::kConfigurationPath);
         else if (result.status == control::CommandStatus::Invalid)
             response = refusal(413, "invalid", result.message);
         else
@@ -91,7 +67,7 @@
         const control::CommittedDocument& document = reducer.state().document;
         transport::HttpResponse response;
         if (status.role != control::Role::Leader || !status.leaseValid)
-            response = redirectToLeader(status.role == control::Role::Leader ? std::nullopt : status.leader);
+            response = redirectToLeader(status.role == control::Role::Leader ? std::nullopt : status.leader, m_port, platform::kConfigurationPath);
         else if (document.version == 0)
             response = refusal(404, "no_document", "no configuration has been accepted yet");
         else
--- a/main/document_api.h
+++ b/main/document_api.h
@@ -17,7 +17,6 @@
 private:
     void put(const transport::HttpRequest& request, const transport::Responder& responder);
     void get(const transport::Responder& responder);
-    transport::HttpResponse redirectToLeader(const std::optional<InstanceName>& leader) const;
 
     ControlRuntime& m_runtime;
     transport::EventSink& m_sink;
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -51,19 +51,19 @@
         const std::uint64_t knownVersion = pending.request.documentVersion & ~control::kFetchesDocumentBit;
         const bool fetchesDocument = (pending.request.documentVersion & control::kFetchesDocumentBit) != 0;
         const bool hasNewDocument = leads && document.version > knownVersion;
-        control::CommittedDocument replyDocument { document.version, hasNewDocument && !fetchesDocument ? document.content : std::string {} };
-        m_loop.post([this, pending, status, replyDocument = std::move(replyDocument), leads, withoutLeader, wait = mayWait && !hasNewDocument]() mutable {
+        CommittedState committed { { document.version, hasNewDocument && !fetchesDocument ? document.content : std::string {} }, reducer.state().evacuatedDataCentres };
+        m_loop.post([this, pending, status, committed = std::move(committed), leads, withoutLeader, wait = mayWait && !hasNewDocument]() mutable {
             const bool hasNewServerList = leads && m_history.known() && pending.request.serverListVersion != m_history.version();
             pending.withoutLeader = withoutLeader;
             if (wait && (withoutLeader || (leads && !hasNewServerList)))
                 m_pendingWatches.push_back(std::move(pending));
             else
-                reply(pending, status, replyDocument);
+                reply(pending, status, committed);
         });
     });
 }
 
-void FeedPublisher::reply(const PendingWatch& pending, const control::ReplicaStatus& status, const control::CommittedDocument& document)
+void FeedPublisher::reply(const PendingWatch& pending, const control::ReplicaStatus& status, const CommittedState& committed)
 {
     const TimePoint now = transport::monotonicNow();
     control::WatchReply reply;
@@ -73,11 +73,13 @@
     reply.members.insert(reply.members.end(), status.learners.begin(), status.learners.end());
     updateEntryInstances(now);
     reply.entryListVersion = m_entryListVersion;
-    if (pending.request.entryListVersion != m_entryListVersion)
+    control::ListVersion heldEntryList = pending.request.entryListVersion;
+    heldEntryList.revision &= ~control::kReadsExtensionBit;
+    if (heldEntryList != m_entryListVersion)
         reply.entryInstances = m_entryInstances;
-    reply.documentVersion = document.version;
-    if (!document.content.empty())
-        reply.document = document.content;
+    reply.documentVersion = committed.document.version;
+    if (!committed.document.content.empty())
+        reply.document = committed.document.content;
     reply.serverListVersion = m_history.version();
     if (reply.leads && m_history.known() && pending.request.serverListVersion != reply.serverListVersion) {
         reply.serverChanges = m_history.changesSince(pending.request.serverListVersion);
@@ -85,8 +87,10 @@
             reply.servers = m_history.servers();
     }
     reply.serverListAge = std::chrono::duration_cast<Micros>(now - m_serverListTime);
-    const bool knowsLeavingServers = (pending.request.documentVersion & control::kFetchesDocumentBit) != 0;
-    if (knowsLeavingServers && !reply.leads && !reply.leader && m_history.known() && reply.serverListAge < kUnconfirmedListLifetime) {
+    const bool readsExtension = control::readsExtension(pending.request);
+    if (readsExtension && reply.leads)
+        reply.evacuatedDataCentres.assign(committed.evacuatedDataCentres.begin(), committed.evacuatedDataCentres.end());
+    if (readsExtension && !reply.leads && !reply.leader && m_history.known() && reply.serverListAge < kUnconfirmedListLifetime) {
         for (const routing::ServerRecord& record : m_history.servers()) {
             if (record.leaving)
                 reply.leavingServers.push_back(record.instance);
@@ -123,7 +127,7 @@
     return true;
 }
 
-void FeedPublisher::documentChanged()
+void FeedPublisher::committedStateChanged()
 {
     m_loop.post([this] { replyToAll(); });
 }
--- a/main/feed_publisher.h
+++ b/main/feed_publisher.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace curranttrail {
@@ -25,12 +26,13 @@
     void watch(control::WatchRequest request, transport::FrameResponder respond);
     // Publishes a complete server list: as the leader all of it, without a leader the servers that leave. Returns false if it may be older than a list that another leader has published.
     bool setServers(routing::ServerList servers, TimePoint fetchStartedAt);
-    // Answers all pending watch requests after a document has been committed. May be called from any thread.
-    void documentChanged();
+    // Answers all pending watch requests after a document or an evacuation has been committed. May be called from any thread.
+    void committedStateChanged();
     // Re-evaluates all pending watch requests after a change of leader. May be called from any thread.
     void leaderChanged(const control::LeaderChanged& change);
     // Answers the watch requests whose maximum wait has passed, and those that lack crash records.
     void tick();
+    const routing::ServerList& servers() const { return m_history.servers(); }
     // The requests under which servers ended.
     const policy::CrashTable& crashes() const { return m_crashes.table(); }
     // Lets a blocked request run again. Returns false if it is not known.
@@ -47,7 +49,13 @@
 
     void replyOrWait(PendingWatch pending, bool mayWait);
     void replyToAll();
-    void reply(const PendingWatch& pending, const control::ReplicaStatus& status, const control::CommittedDocument& document);
+    // What a reply takes from the committed state.
+    struct CommittedState {
+        control::CommittedDocument document;
+        std::set<DataCentreName> evacuatedDataCentres;
+    };
+
+    void reply(const PendingWatch& pending, const control::ReplicaStatus& status, const CommittedState& committed);
     void updateEntryInstances(TimePoint now);
 
     transport::EventLoop& m_loop;
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -95,7 +95,7 @@
         if (settings.metrics.port != 0)
             metricsServer.emplace(context, settings.metrics, metricsHandlers());
         if (settings.relay.port != 0)
-            relay.emplace(context, settings.relay, settings.groupConnection.linkKey, [this](const std::string& address) { return !stopping && router.canRelayTo(address); });
+            startRelay();
     }
 
     static routing::RouterOptions routerOptions(const GatewaySettings& settings)
@@ -108,6 +108,12 @@
         return options;
     }
 
+    void startRelay()
+    {
+        relay.emplace(context, settings.relay, settings.groupConnection.linkKey, [this](const std::string& address) { return !stopping && router.canRelayTo(address); });
+        relay->setRequestPermission([this](const std::string& address) { return !router.isEvacuated(address); });
+    }
+
     transport::RawHttpServer::Handlers callerHandlers()
     {
         transport::RawHttpServer::Handlers handlers;
@@ -350,8 +356,18 @@
         dispatch(changed);
     }
 
+    void applyEvacuations(std::vector<DataCentreName> dataCentres)
+    {
+        dispatch(routing::EvacuationsChanged { std::move(dataCentres) });
+        if (relay)
+            relay->closeForbidden();
+    }
+
     void handleWatchReply(control::WatchReply reply, std::vector<policy::CrashRecord> crashes)
     {
+        // First, so that no request reaches a server that the rest of the reply names.
+        if (!reply.evacuatedDataCentres.empty() || !router.servers().evacuations().isEmpty())
+            applyEvacuations(std::move(reply.evacuatedDataCentres));
         if (!crashes.empty())
             dispatch(routing::CrashRecordsReceived { std::move(crashes) });
         if (reply.document)
@@ -414,6 +430,8 @@
         add("servers_ended_total", "", counters.serversEnded);
         add("crash_records", "", router.crashes().size());
         add("requests_in_flight", "", router.requestsInFlight());
+        add("evacuated_data_centres", "", router.servers().evacuations().size());
+        add("attempts_to_evacuated", "", router.attemptsToEvacuated());
         add("document_version", "", router.documentVersion());
         add("log_lines_dropped_total", "", sink.droppedLines());
         return text;
--- a/main/operator_program.cpp
+++ b/main/operator_program.cpp
@@ -23,6 +23,9 @@
   timeline [options]         events of all processes in causal order
   crashes list               requests under which servers ended, at the coordinators
   crashes release ID         let such a request run again
+  evacuation list            the evacuated data centres, at the coordinators
+  evacuation order NAME      send the servers of a data centre nothing more
+  evacuation withdraw NAME   use them again
   verify [options]           recompute the bill and compare it with the other owner's ledger
   keygen PATH                create a key pair for the usage ledger
 
@@ -220,6 +223,32 @@
         return releaseRequest(coordinator.endpoint(), fingerprint.getValue(), output);
     }
 
+    CliExit runEvacuationList(const ArgumentList& words, CliOutput output)
+    {
+        Arguments arguments("evacuation list", "Lists the evacuated data centres.");
+        CoordinatorArgument coordinator(arguments.line());
+        arguments.parse(words);
+        return listEvacuations(coordinator.endpoint(), output);
+    }
+
+    CliExit runEvacuationOrder(const ArgumentList& words, CliOutput output)
+    {
+        Arguments arguments("evacuation order", "Orders that the servers of a data centre get no requests.");
+        CoordinatorArgument coordinator(arguments.line());
+        TCLAP::UnlabeledValueArg<std::string> name("name", "Data centre.", true, "", "NAME", arguments.line());
+        arguments.parse(words);
+        return orderEvacuation(coordinator.endpoint(), name.getValue(), true, output);
+    }
+
+    CliExit runEvacuationWithdraw(const ArgumentList& words, CliOutput output)
+    {
+        Arguments arguments("evacuation withdraw", "Withdraws the evacuation of a data centre.");
+        CoordinatorArgument coordinator(arguments.line());
+        TCLAP::UnlabeledValueArg<std::string> name("name", "Data centre.", true, "", "NAME", arguments.line());
+        arguments.parse(words);
+        return orderEvacuation(coordinator.endpoint(), name.getValue(), false, output);
+    }
+
     using CommandFunction = CliExit (*)(const ArgumentList&, CliOutput);
 
     CommandFunction findCommand(ArgumentList& words)
@@ -227,10 +256,11 @@
         static const std::map<std::string, CommandFunction> commands { { "class list", runClassList }, { "class show", runClassShow },
             { "class set", runClassSet }, { "status", runStatus }, { "where", runWhere }, { "timeline", runTimeline },
             { "crashes list", runCrashesList },
-            { "crashes release", runCrashesRelease }, { "verify", runVerify }, { "keygen", runKeygen } };
+            { "crashes release", runCrashesRelease }, { "evacuation list", runEvacuationList },
+            { "evacuation order", runEvacuationOrder }, { "evacuation withdraw", runEvacuationWithdraw }, { "verify", runVerify }, { "keygen", runKeygen } };
         if (words.empty())
             return nullptr;
-        const std::size_t count = (words.front() == "class" || words.front() == "crashes") && words.size() > 1 ? 2 : 1;
+        const std::size_t count = (words.front() == "class" || words.front() == "crashes" || words.front() == "evacuation") && words.size() > 1 ? 2 : 1;
         const std::string name = count == 2 ? words[0] + " " + words[1] : words[0];
         const auto it = commands.find(name);
         if (it == commands.end())
--- a/tests/control/feed_test.cpp
+++ b/tests/control/feed_test.cpp
@@ -28,4 +28,46 @@
     BOOST_TEST(!decodeWatchReply(plain + "x"));
 }
 
+// Guards against a leader's reply that entry instances of an earlier build cannot decode, or in which they find leaving servers that they use:
+// they read the same bytes as names of leaving servers, which they take from instances that do not lead only.
+BOOST_AUTO_TEST_CASE(EvacuationsFollowTheRestOfALeadersReply)
+{
+    WatchReply reply;
+    reply.members = { "10.0.0.1:7240" };
+    reply.documentVersion = 7;
+    reply.leavingServers = { "dc-a" };
+    const std::string leaving = encodeWatchReply(reply);
+    reply.leavingServers.clear();
+    const std::string unsaid = encodeWatchReply(reply);
+    const std::string names = leaving.substr(unsaid.size());
+    reply.leads = true;
+    const std::string plain = encodeWatchReply(reply);
+    reply.evacuatedDataCentres = { "dc-a" };
+    BOOST_TEST(encodeWatchReply(reply) == plain + names);
+    const std::optional<WatchReply> decoded = decodeWatchReply(plain + names);
+    BOOST_REQUIRE(decoded);
+    BOOST_TEST(decoded->evacuatedDataCentres == reply.evacuatedDataCentres);
+    BOOST_TEST(decoded->leavingServers.empty());
+    BOOST_TEST(decodeWatchReply(plain).value().evacuatedDataCentres.empty());
+    // An instance that does not lead says nothing of evacuations.
+    reply.leads = false;
+    BOOST_TEST(encodeWatchReply(reply) == unsaid);
+    BOOST_TEST(decodeWatchReply(leaving).value().evacuatedDataCentres.empty());
+}
+
+// Guards against an instance that is told of no evacuation because it fetches documents as a whole, and against an earlier build that is sent
+// more than it decodes.
+BOOST_AUTO_TEST_CASE(ARequestSaysWhetherItsSenderReadsWhatFollows)
+{
+    WatchRequest request;
+    request.documentVersion = 7;
+    request.entryListVersion = { 3, 4 };
+    BOOST_TEST(!readsExtension(request));
+    request.documentVersion |= kFetchesDocumentBit;
+    BOOST_TEST(readsExtension(request));
+    request.documentVersion = 7;
+    request.entryListVersion.revision |= kReadsExtensionBit;
+    BOOST_TEST(readsExtension(decodeWatch(encodeWatch(request)).value()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/stand_ins/stamped_servers.cpp
+++ b/tests/stand_ins/stamped_servers.cpp
@@ -29,6 +29,7 @@
     std::size_t index = 0;
     std::string collection;
     std::string listedAddress;
+    std::string dataCentre = "z1";
     unsigned incarnation = 1;
     unsigned turn = 0;
     // Number of times that the server ended.
@@ -121,6 +122,12 @@
     m_servers[server]->listedAddress = address;
 }
 
+void StampedServers::setDataCentre(std::size_t server, const std::string& dataCentre)
+{
+    const std::lock_guard lock(m_mutex);
+    m_servers[server]->dataCentre = dataCentre;
+}
+
 void StampedServers::set(std::size_t server, const ServerBehaviour& behaviour)
 {
     const std::lock_guard lock(m_mutex);
@@ -185,7 +192,7 @@
     for (const std::unique_ptr<Server>& server : m_servers) {
         if (server->behaviour.down)
             continue;
-        instances.push_back(json::object { { "id", server->instance() }, { "service", server->collection }, { "address", server->listedAddress }, { "zone", "z1" },
+        instances.push_back(json::object { { "id", server->instance() }, { "service", server->collection }, { "address", server->listedAddress }, { "zone", server->dataCentre },
             { "version", "v1" }, { "slots", 4 }, { "state", server->behaviour.leaving ? "draining" : "ready" }, { "coldLeftMs", 0 } });
     }
     // An entry that does not describe a server; readers must skip it.
--- a/tests/stand_ins/stamped_servers.h
+++ b/tests/stand_ins/stamped_servers.h
@@ -44,6 +44,8 @@
     std::uint16_t portOf(std::size_t server) const;
     // Sets the address of the server in the list, such as that of a proxy.
     void setListedAddress(std::size_t server, const std::string& address);
+    // Sets the data centre of the server in the list; z1 by default.
+    void setDataCentre(std::size_t server, const std::string& dataCentre);
     void set(std::size_t server, const ServerBehaviour& behaviour);
     // Simulates a restart: increments the incarnation and keeps the address.
     void restart(std::size_t server);
