--- a/main/cli_commands.h
+++ b/main/cli_commands.h
@@ -55,6 +55,10 @@
 // Shows the errors of a configuration document, entries that never match, limits that contradict each other and what it would change.
 CliExit checkConfiguration(const ConfigurationCheck& check, CliOutput output);
 
+// Shows the evacuated data centres, orders the evacuation of one or withdraws it. An order may be repeated.
+CliExit listEvacuations(const transport::Endpoint& coordinator, CliOutput output);
+CliExit orderEvacuation(const transport::Endpoint& coordinator, const DataCentreName& dataCentre, bool isEvacuated, CliOutput output);
+
 struct TimelineOptions {
     TimelineFilter filter;
     // Log files; if there are none, the events are fetched from all instances in the settings.
--- a/routing/events.h
+++ b/routing/events.h
@@ -40,6 +40,9 @@
     inline constexpr EventDescription kProcessSuspended { 8080, "process_suspended", Severity::Warning, "The machine was suspended for the given time; what control confirmed before is older by it." };
     inline constexpr EventDescription kKeysUnconfirmed { 8081, "keys_unconfirmed", Severity::Warning, "Requests with keys are refused from now on: no control leader has confirmed within the revocation limit that the document with the keys is in force." };
     inline constexpr EventDescription kKeysConfirmed { 8082, "keys_confirmed", Severity::Information, "A control leader confirmed the document; requests with its keys are admitted again." };
+    inline constexpr EventDescription kEvacuationApplied { 8090, "evacuation_applied", Severity::Information, "Operators ordered the evacuation of a data centre; its servers get no new work from this instance, and the fields count them and the attempts that still run on them." };
+    inline constexpr EventDescription kEvacuationWithdrawn { 8091, "evacuation_withdrawn", Severity::Information, "The evacuation of a data centre was withdrawn; its servers get new work from this instance after a short random delay." };
+    inline constexpr EventDescription kEvacuationEnded { 8092, "evacuation_ended", Severity::Information, "The servers of a data centre whose evacuation was withdrawn get new work from this instance again." };
     inline constexpr EventDescription kDocumentApplied { 8030, "document_applied", Severity::Information, "This instance applied a newer version of the route document." };
     inline constexpr EventDescription kInstancesChanged { 8031, "instances_changed", Severity::Information, "The number of entry instances changed; this instance's share of connections and additional attempts is updated." };
 
@@ -77,6 +80,9 @@
     &events::kProcessSuspended,
     &events::kKeysUnconfirmed,
     &events::kKeysConfirmed,
+    &events::kEvacuationApplied,
+    &events::kEvacuationWithdrawn,
+    &events::kEvacuationEnded,
     &events::kDocumentApplied,
     &events::kInstancesChanged,
 };
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -157,6 +157,11 @@
     Micros age { 0 };
 };
 
+// The data centres whose servers get no new work, as ordered by operators.
+struct EvacuationsChanged {
+    std::vector<DataCentreName> dataCentres;
+};
+
 // A control leader with a valid lease replied: the route document and the server list that this instance holds are in force.
 struct ControlContacted {
     // Time since the reply.
@@ -195,7 +200,7 @@
 struct Tick { };
 
 using Event = std::variant<RequestArrived, CallerDisconnected, ConnectionOpened, ConnectionLost, AttemptReplied, AttemptConnectionLost, RouteDocumentUpdated,
-    ServerListReceived, ServerListDeltaReceived, ServersLeaving, ControlContacted, CrashRecordsReceived, EntryInstancesChanged, RelaysChanged, ProcessSuspended, StopScheduled, Tick>;
+    ServerListReceived, ServerListDeltaReceived, ServersLeaving, EvacuationsChanged, ControlContacted, CrashRecordsReceived, EntryInstancesChanged, RelaysChanged, ProcessSuspended, StopScheduled, Tick>;
 
 // ---- Effects ----
 
