--- a/tests/control/control_faults_test.cpp
+++ b/tests/control/control_faults_test.cpp
@@ -1,5 +1,6 @@
 #include "tests/control/command_workload.h"
 #include "tests/control/document_workload.h"
+#include "tests/control/evacuation_workload.h"
 #include "tests/control/member_change_driver.h"
 
 #include <boost/test/unit_test.hpp>
@@ -179,6 +180,15 @@
     return simulation.leader().has_value();
 }
 
+bool allReplicasAreUp(ControlSimulation& simulation)
+{
+    for (std::size_t n = 0; n < simulation.size(); ++n) {
+        if (!simulation.isUp(n))
+            return false;
+    }
+    return true;
+}
+
 bool allMembersAgree(ControlSimulation& simulation)
 {
     const std::optional<std::size_t> leader = simulation.leader();
@@ -244,18 +254,23 @@
     if (!simulation.runUntil([&] { return memberChanges.isComplete(); }, 20 * kSecond))
         return "not all replicas became voters " + simulation.violation();
     DocumentWorkload workload(simulation);
+    EvacuationWorkload evacuations(simulation, seed);
     FaultInjector faults(simulation, { .restartsInQuickSuccession = seed % 2 == 0 });
     workload.start(Micros { 150'000 });
+    evacuations.start(Micros { 400'000 });
     faults.start();
     simulation.runFor(30 * kSecond);
     faults.stop();
     workload.stop();
-    if (!simulation.runUntil([&] { return workload.settled() && memberChanges.isComplete() && allMembersAgree(simulation); }, 60 * kSecond))
+    evacuations.stop();
+    if (!simulation.runUntil([&] { return workload.settled() && evacuations.settled() && allReplicasAreUp(simulation) && memberChanges.isComplete() && allMembersAgree(simulation); }, 60 * kSecond))
         return simulation.violation().empty() ? "the group did not recover" : simulation.violation();
-    if (workload.acknowledged() == 0)
-        return "no document was acknowledged";
-    for (std::size_t n = 0; n < simulation.size(); ++n)
+    if (workload.acknowledged() == 0 || evacuations.acknowledged() == 0)
+        return "no document or no evacuation was acknowledged";
+    for (std::size_t n = 0; n < simulation.size(); ++n) {
         workload.checkCommittedDocument(n);
+        evacuations.check(n);
+    }
     return simulation.violation();
 }
 
@@ -296,8 +311,8 @@
     runSeeds(seedCount(15), 4, { .changesMembers = true, .restartsInQuickSuccession = true });
 }
 
-// Guards against documents that are lost, altered or outdated at a leader with a valid lease, in groups of the deployed sizes
-// whose members the planner adds and removes.
+// Guards against orders to evacuate that are lost, and documents that are lost, altered or outdated at a leader with a valid lease, in
+// groups of the deployed sizes whose members the planner adds and removes.
 BOOST_AUTO_TEST_CASE(DocumentsSurviveInGroupsOfSeveralSizes)
 {
     const char* only = std::getenv("CONTROL_SEED");
--- a/tests/control/evacuation_test.cpp
+++ b/tests/control/evacuation_test.cpp
@@ -142,11 +142,13 @@
     ControlSimulation simulation(worldOptions(static_cast<std::uint64_t>(seed)));
     EvacuationWorkload workload(simulation, static_cast<std::uint64_t>(seed));
     BOOST_REQUIRE(simulation.runUntil([&] { return simulation.leader().has_value(); }, 20 * kSecond));
-    workload.start(Micros { 60'000 });
     for (int round = 0; round < 3; ++round) {
+        workload.start(Micros { 60'000 });
         const std::size_t acknowledged = workload.acknowledged();
-        BOOST_REQUIRE(simulation.runUntil([&] { return workload.acknowledged() >= acknowledged + 12; }, 20 * kSecond));
+        BOOST_TEST_REQUIRE(simulation.runUntil([&] { return workload.acknowledged() >= acknowledged + 12; }, 20 * kSecond));
         simulation.runFor(Micros { static_cast<Micros::rep>(simulation.randomBelow(50'000)) });
+        // Orders that are not acknowledged yet are sent again, no new ones are given.
+        workload.stop();
         for (std::size_t n = 0; n < simulation.size(); ++n)
             simulation.crash(n, true);
         const std::size_t wiped = simulation.randomBelow(simulation.size() + 1);
@@ -154,22 +156,14 @@
             simulation.disk(wiped).erase();
         for (std::size_t n = 0; n < simulation.size(); ++n)
             simulation.restart(n);
-        BOOST_REQUIRE(simulation.runUntil([&] { return simulation.leader().has_value(); }, 20 * kSecond));
-        simulation.runUntil([&] {
-            for (std::size_t n = 0; n < simulation.size(); ++n) {
-                if (simulation.status(n).repairing)
-                    return false;
-            }
-            return true;
-        },
-            20 * kSecond);
+        BOOST_TEST_REQUIRE(simulation.runUntil([&] { return simulation.leader() && workload.settled(); }, 20 * kSecond));
+        simulation.runFor(2 * kSecond);
+        for (std::size_t n = 0; n < simulation.size(); ++n) {
+            BOOST_TEST(!simulation.status(n).repairing);
+            workload.check(n);
+        }
+        BOOST_TEST_REQUIRE(simulation.violation().empty(), simulation.violation());
     }
-    workload.stop();
-    BOOST_REQUIRE(simulation.runUntil([&] { return workload.settled(); }, 20 * kSecond));
-    simulation.runFor(2 * kSecond);
-    for (std::size_t n = 0; n < simulation.size(); ++n)
-        workload.check(n);
-    BOOST_TEST(simulation.violation().empty(), simulation.violation());
 }
 
 // A replica that lost its disk gets the orders with the leader's snapshot. Guards against one that then reports none.
--- a/tests/control/evacuation_workload.cpp
+++ b/tests/control/evacuation_workload.cpp
@@ -17,6 +17,7 @@
 void EvacuationWorkload::start(Micros pause)
 {
     m_pause = pause;
+    m_running = true;
     for (std::size_t n = 0; n < m_operators.size(); ++n)
         next(n);
 }
