--- a/routing/router_connections.cpp
+++ b/routing/router_connections.cpp
@@ -173,11 +173,12 @@
     }
 }
 
-// Connections that were borrowed, or that are beyond a planned quota that has shrunk: other instances may use that room already.
+// Closes idle connections that were borrowed at home, or that are beyond a planned quota that has shrunk: other instances may use that room
+// already. Those to servers for which nothing is planned are closed by their idle time.
 void Router::closeConnectionsBeyondPlan()
 {
     for (const auto& [instance, server] : m_servers.all()) {
-        while (server->isPlanned && server->connections > server->plannedQuota && !server->idle.empty())
+        while (server->isPlanned && server->connections > std::max(1U, server->plannedQuota) && !server->idle.empty())
             closeConnection(server->idle.front());
     }
 }
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -238,7 +238,7 @@
         best = server;
         lowestCost = micros;
     }
-    return best ? best : lend(collection, avoided, estimate.priority, now);
+    return best;
 }
 
 bool ServerTable::hasOtherAtHome(const CollectionName& collection, const std::vector<const Server*>& avoided) const
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -79,13 +79,12 @@
     TimePoint earliestConnectAt = TimePoint::min();
     // Maximum number of connections that this instance may hold to the server.
     std::uint32_t connectionQuota = 1;
-    // True if connections are planned by data centre. Those beyond the planned number are borrowed: they are closed as soon as they are idle.
+    // True if connections are planned by data centre. Those beyond the planned number are borrowed: they are closed soon after the request.
     bool isPlanned = false;
     std::uint32_t plannedQuota = 0;
     // True if one connection is kept open ahead of need.
     bool keepsWarmConnection = false;
-    // Set if this instance may not keep a connection to the server because all instances share its limit, or because it is only the
-    // second choice. Connections are then opened
+    // Set if this instance may not keep a connection to the server because all instances share its limit. Connections are then opened
     // for a request and closed after a short idle time, so that few are open at the same moment. The value is the number of idle
     // connections that may stay longer, over all servers of the collection for which it is set.
     std::optional<std::size_t> idleConnectionLimit;
@@ -189,7 +188,6 @@
     double cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const;
     void updateConnectionQuota(const CollectionSpec& spec, const std::vector<Server*>& servers, TimePoint now);
     bool planConnections(const std::vector<Server*>& usable, std::uint32_t limit, bool isEnoughForAll, TimePoint now);
-    Server* lend(const CollectionName& collection, const std::vector<const Server*>& avoided, std::uint32_t priority, TimePoint now) const;
 
     const DataCentreName m_dataCentre;
     const InstanceName m_self;
--- a/routing/server_table_connections.cpp
+++ b/routing/server_table_connections.cpp
@@ -20,10 +20,9 @@
     constexpr std::uint32_t kMaximumSharedConnections = 2;
     // With fewer connections of each instance to a server, the data centres matter.
     constexpr double kMinimumUnplannedQuota = 2;
-    // Idle connections to second choices that stay for a while, of each collection.
-    constexpr std::size_t kIdleSecondChoices = 1;
-    // Connections to the server at home that are opened while those of the plan are busy, and closed as soon as they are idle.
-    constexpr std::uint32_t kBorrowedAtHome = 1;
+    // Connections beyond the plan to the server at home, while those of the plan are busy, and to servers for which the plan gives none. They
+    // are closed soon after the request.
+    constexpr std::uint32_t kBorrowedConnections = 1;
     // The rest of a server's connection limit is left for instances that are not known yet and for its other clients.
     constexpr double kUsableLimitShare = 0.85;
 } // namespace
@@ -116,28 +115,14 @@
         const policy::ConnectionPlan::Allotment& allotment = (*allotments)[n];
         usable[n]->isPlanned = true;
         usable[n]->plannedQuota = allotment.quota;
-        usable[n]->connectionQuota = allotment.quota + (allotment.isHome ? kBorrowedAtHome : 0);
+        usable[n]->connectionQuota = allotment.quota + (allotment.isHome || allotment.quota == 0 ? kBorrowedConnections : 0);
         usable[n]->keepsWarmConnection = allotment.isHome || (isEnoughForAll && allotment.quota > 0);
-        if (!usable[n]->keepsWarmConnection)
-            usable[n]->idleConnectionLimit = kIdleSecondChoices;
+        if (allotment.quota == 0)
+            usable[n]->idleConnectionLimit = 0;
     }
     return true;
 }
 
-// Lets a request that no server within the quotas can take use one of the others. The plan leaves a part of each limit for this.
-Server* ServerTable::lend(const CollectionName& collection, const std::vector<const Server*>& avoided, std::uint32_t priority, TimePoint now) const
-{
-    for (Server* server : serversOf(collection)) {
-        if (!server->isPlanned || server->connectionQuota > 0 || !server->acceptsWork() || !server->isReachable() || now < server->earliestConnectAt)
-            continue;
-        if (!server->isWithinLimit(priority, now) || std::find(avoided.begin(), avoided.end(), server) != avoided.end())
-            continue;
-        server->connectionQuota = 1;
-        return server;
-    }
-    return nullptr;
-}
-
 std::pair<bool, std::size_t> ServerTable::preferenceRank(const Server& server) const
 {
     return { server.record.dataCentre != m_dataCentre, std::hash<std::string> {}(m_self + '/' + server.record.instance) };
