Limit the requests to cold servers over all instances

cause: a server in its cold start got as many requests as any other; only the cold time of a new server was read, a server that turned cold again was not noticed, and the control instances told nobody of it change: ColdStart keeps a server's cold time and, where the document names a rate, this instance's share of it, a ServerRateLimit whose burst keeps to one second; every attempt takes a token; what waits for a server that turns cold goes elsewhere. The cold time follows each list (its age counts from the start of the fetch) and replies; a server that stays cold longer than the last list said is a change of the list.

--- a/control/server_list_history.cpp
+++ b/control/server_list_history.cpp
@@ -11,15 +11,20 @@
     // A reader that is more revisions behind gets the whole list. The list is fetched once a second.
     constexpr std::size_t kRetainedRevisions = 16;
 
-    // The remaining cold time decreases with every list and does not count as a change.
-    bool isSameServer(const routing::ServerRecord& a, const routing::ServerRecord& b)
+    // Platforms round the remaining time, and a page of the list takes a while.
+    constexpr Micros kColdTimeTolerance { 150'000 };
+
+    // The remaining cold time decreases with every list. Only a server that stays cold for longer than the list of before said has
+    // changed.
+    bool isSameServer(const routing::ServerRecord& before, const routing::ServerRecord& after, Micros elapsed)
     {
-        routing::ServerRecord left = a;
-        left.coldStartRemaining = b.coldStartRemaining;
-        return left == b;
+        routing::ServerRecord left = before;
+        left.coldStartRemaining = after.coldStartRemaining;
+        const Micros expected = std::max(Micros { 0 }, before.coldStartRemaining - elapsed);
+        return left == after && after.coldStartRemaining <= expected + kColdTimeTolerance;
     }
 
-    std::set<std::string> changedInstances(const routing::ServerList& before, const routing::ServerList& after)
+    std::set<std::string> changedInstances(const routing::ServerList& before, const routing::ServerList& after, Micros elapsed)
     {
         std::map<std::string_view, const routing::ServerRecord*> unmatched;
         for (const routing::ServerRecord& record : before)
@@ -27,7 +32,7 @@
         std::set<std::string> changed;
         for (const routing::ServerRecord& record : after) {
             const auto it = unmatched.find(record.instance);
-            if (it == unmatched.end() || !isSameServer(*it->second, record))
+            if (it == unmatched.end() || !isSameServer(*it->second, record, elapsed))
                 changed.insert(record.instance);
             if (it != unmatched.end())
                 unmatched.erase(it);
@@ -52,14 +57,17 @@
     m_termStartedAt = now;
 }
 
-bool ServerListHistory::set(routing::ServerList servers)
+bool ServerListHistory::set(routing::ServerList servers, TimePoint fetchStartedAt)
 {
-    std::set<std::string> changed = changedInstances(m_servers, servers);
-    if (known() && changed.empty())
-        return false;
+    const Micros elapsed = std::chrono::duration_cast<Micros>(fetchStartedAt - m_fetchStartedAt);
+    const std::set<std::string> changed = changedInstances(m_servers, servers, elapsed);
+    const bool isChanged = !known() || !changed.empty();
     m_servers = std::move(servers);
+    m_fetchStartedAt = fetchStartedAt;
+    if (!isChanged)
+        return false;
     ++m_version.revision;
-    m_changed.push_back(std::move(changed));
+    m_changed.push_back(changed);
     if (m_changed.size() > kRetainedRevisions)
         m_changed.pop_front();
     return true;
--- a/control/server_list_history.h
+++ b/control/server_list_history.h
@@ -21,8 +21,8 @@
     void beginTerm(std::uint64_t term, std::uint64_t epoch, TimePoint now);
     // Returns whether a list may be published. One whose fetch began before the term may be older than those of the last leader.
     bool accepts(TimePoint fetchStartedAt) const { return fetchStartedAt >= m_termStartedAt; }
-    // Replaces the list. Returns true if it differs from the previous one.
-    bool set(routing::ServerList servers);
+    // Replaces the list. Returns true if it differs from the previous one: not if only the cold times have passed by.
+    bool set(routing::ServerList servers, TimePoint fetchStartedAt = {});
     // True once a list was set.
     bool known() const { return m_version.revision > 0; }
     const ListVersion& version() const { return m_version; }
@@ -32,6 +32,7 @@
 
 private:
     routing::ServerList m_servers;
+    TimePoint m_fetchStartedAt;
     ListVersion m_version;
     std::uint64_t m_term = 0;
     TimePoint m_termStartedAt = TimePoint::min();
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -116,7 +116,7 @@
         return false;
     }
     m_serverListTime = fetchStartedAt;
-    if (!m_history.set(std::move(servers)))
+    if (!m_history.set(std::move(servers), fetchStartedAt))
         return true;
     m_sink.log(events::kServerListChanged, { { "revision", fmt::to_string(m_history.version().revision) }, { "servers", fmt::to_string(m_history.servers().size()) }, { "age_us", fmt::to_string(age.count()) } });
     replyToAll();
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -215,6 +215,7 @@
         event.reply.load = header.load;
         event.reply.limit = header.limit;
         event.reply.rest = header.rest;
+        event.reply.coldRemaining = header.coldRemaining;
         event.reply.isLeaving = header.leaving;
         event.reply.fields = std::move(reply.fields);
         event.reply.body = std::move(reply.body);
@@ -409,6 +410,8 @@
         add("server_connections_opened_total", "", counters.connectionsOpened);
         add("held_back_total", "", counters.heldBack);
         add("limited_servers", "", counters.limitedServers);
+        add("cold_servers", "", counters.coldServers);
+        text += fmt::format("curranttrail_cold_requests_per_second {:.3f}\n", counters.coldRequestsPerSecond);
         add("server_connections_relayed_total", "", counters.connectionsRelayed);
         add("relayed_for_others", "", relay ? relay->connections() : 0);
         add("servers_ended_total", "", counters.serversEnded);
--- a/main/server_list_poller.cpp
+++ b/main/server_list_poller.cpp
@@ -53,8 +53,12 @@
         }
         platform::ServerPage& page = std::get<platform::ServerPage>(decoded);
         unreadable += page.unreadable;
-        for (routing::ServerRecord& record : page.servers)
+        // The age of the list counts from the start of the fetch.
+        const Micros elapsed = std::chrono::duration_cast<Micros>(transport::monotonicNow() - startedAt);
+        for (routing::ServerRecord& record : page.servers) {
+            record.coldStartRemaining += record.coldStartRemaining.count() > 0 ? elapsed : Micros { 0 };
             servers.push_back(std::move(record));
+        }
         if (page.nextToken && ++pages < static_cast<std::size_t>(source.callsPerSecond * kUnpacedShareOfRate)) {
             fetch(*page.nextToken);
             return;
--- a/policy/server_rate_limit.cpp
+++ b/policy/server_rate_limit.cpp
@@ -15,11 +15,6 @@
     constexpr double kMaximumLimit = 1e6;
     // Requests a second of all instances together by which a server that takes none is asked whether that has ended.
     constexpr double kMinimumLimit = 0.25;
-    // Unspent tokens of this time are kept, but at least one.
-    constexpr double kBurstSeconds = 0.75;
-    // Mean number of instances that hold an unspent token at the same moment, for each request a second of the limit. With more
-    // instances than that, tokens that are not needed are lost after a lifetime that keeps to it.
-    constexpr double kHoldersPerRequest = 1.2;
     // Part of the share that a less urgent class gets in any case.
     constexpr double kMinimumClassShare = 0.2;
     constexpr double kDemandDecaySeconds = 4;
@@ -33,8 +28,9 @@
     }
 } // namespace
 
-ServerRateLimit::ServerRateLimit(double requestsPerSecond, std::uint32_t instances, Random& random, TimePoint now)
-    : m_requestsPerSecond(requestsPerSecond)
+ServerRateLimit::ServerRateLimit(double requestsPerSecond, std::uint32_t instances, Random& random, TimePoint now, RateLimitBurst burst)
+    : m_burst(burst)
+    , m_requestsPerSecond(requestsPerSecond)
     , m_bucket(now)
 {
     update(instances, now);
@@ -68,10 +64,10 @@
         return false;
     m_instances = std::max(1U, instances);
     m_share = currentLimit(now) * kUsableShare / m_instances;
-    m_bucket.configure(m_share, std::max(1.0, m_share * kBurstSeconds), now);
+    m_bucket.configure(m_share, std::max(1.0, m_share * m_burst.seconds), now);
     for (auto& [priority, entry] : m_classes) {
         const double left = std::max(m_share - moreUrgentDemand(priority, now), m_share * kMinimumClassShare);
-        entry.bucket.configure(left, std::max(1.0, left * kBurstSeconds), now);
+        entry.bucket.configure(left, std::max(1.0, left * m_burst.seconds), now);
     }
     expireToken(now);
     return true;
@@ -86,7 +82,7 @@
     if (!m_tokenSince)
         m_tokenSince = now;
     // A share without demand holds a token for this part of the time.
-    const double holdingPart = kHoldersPerRequest * currentLimit(now) / m_instances;
+    const double holdingPart = m_burst.holdersPerRequest * currentLimit(now) / m_instances;
     if (holdingPart >= 1 || secondsBetween(*m_tokenSince, now) < holdingPart / (1 - holdingPart) / m_share)
         return;
     m_bucket.clear(now);
--- a/policy/server_rate_limit.h
+++ b/policy/server_rate_limit.h
@@ -10,13 +10,22 @@
 
 namespace curranttrail::policy {
 
+// How many requests may come at once after a pause, in relation to the limit.
+struct RateLimitBurst {
+    // Unspent tokens of this time are kept, but at least one.
+    double seconds = 0.75;
+    // Mean number of instances that hold an unspent token at the same moment, for each request a second of the limit. With more
+    // instances than that, tokens that are not needed are lost after a lifetime that keeps to it.
+    double holdersPerRequest = 1.2;
+};
+
 // One instance's share of the requests a second that a server takes from all instances together. Each instance holds an equal share
 // and keeps to it without asking others. Where there are many more instances than the server takes requests a second, an unspent token
 // is lost after a short time, so that few instances hold one at the same moment and all of them together cannot save up a burst.
 class ServerRateLimit {
 public:
     // The share is empty at first. Instances that learn of a limit at the same moment get their first tokens at different times.
-    ServerRateLimit(double requestsPerSecond, std::uint32_t instances, Random& random, TimePoint now);
+    ServerRateLimit(double requestsPerSecond, std::uint32_t instances, Random& random, TimePoint now, RateLimitBurst burst = {});
 
     // The server named its limit again.
     void onNamed(double requestsPerSecond, TimePoint now);
@@ -41,6 +50,8 @@
     Micros timeUntilAvailable(std::uint32_t priority, TimePoint now) const;
 
     double requestsPerSecond() const { return m_requestsPerSecond; }
+    // Returns the requests a second that this instance may send.
+    double share() const { return m_share; }
 
 private:
     struct PriorityClass {
@@ -56,6 +67,7 @@
     // Returns the requests a second of the classes that are more urgent.
     double moreUrgentDemand(std::uint32_t priority, TimePoint now) const;
 
+    RateLimitBurst m_burst;
     double m_requestsPerSecond = 0;
     std::uint32_t m_instances = 1;
     double m_share = 0;
--- a/routing/events.h
+++ b/routing/events.h
@@ -29,6 +29,8 @@
     inline constexpr EventDescription kServerLimitUnreadable { 8043, "server_limit_unreadable", Severity::Warning, "A server named a limit that is no number, negative or infinite; the limit of before, if any, stays; at most one line a second for each server." };
     inline constexpr EventDescription kServerRests { 8044, "server_rests", Severity::Information, "A server rejected a request and wants nothing from this instance for the given time; at most one line a second for each server." };
     inline constexpr EventDescription kServerRestUnreadable { 8045, "server_rest_unreadable", Severity::Warning, "A server that rejected a request named a time that is no number of seconds, negative or infinite; it is ignored; at most one line a second for each server." };
+    inline constexpr EventDescription kServersCold { 8046, "servers_cold", Severity::Information, "Servers turned cold and take only a limited number of requests a second from all instances together; the fields count them, name the first and give this instance's share at all cold servers." };
+    inline constexpr EventDescription kServersWarm { 8047, "servers_warm", Severity::Information, "Servers are no longer cold, or no longer listed; their requests are not limited any more." };
     inline constexpr EventDescription kServerEnded { 8050, "server_ended", Severity::Warning, "A server closed its connections while requests ran on it and takes no new ones, though others beside it do; the requests become suspect until they are answered elsewhere." };
     inline constexpr EventDescription kRequestSuspected { 8051, "request_suspected", Severity::Information, "A server ended while the request with this fingerprint ran on it; until it is answered it is not repeated on another server." };
     inline constexpr EventDescription kRequestBlocked { 8052, "request_blocked", Severity::Error, "So many servers ended under the request with this fingerprint that it is refused from now on; the fields name the servers and the instances that had sent it." };
@@ -63,6 +65,8 @@
     &events::kServerLimitUnreadable,
     &events::kServerRests,
     &events::kServerRestUnreadable,
+    &events::kServersCold,
+    &events::kServersWarm,
     &events::kServerEnded,
     &events::kRequestSuspected,
     &events::kRequestBlocked,
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -74,6 +74,8 @@
     std::optional<ServerLoad> load;
     std::optional<NamedLimit> limit;
     std::optional<NamedRest> rest;
+    // Time for which the server states that it stays cold.
+    Micros coldRemaining { 0 };
     // True if the server states that it leaves.
     bool isLeaving = false;
     // End-to-end header fields, forwarded unchanged.
--- a/routing/reply_classification.h
+++ b/routing/reply_classification.h
@@ -23,6 +23,8 @@
     std::optional<ServerLoad> load;
     std::optional<NamedLimit> limit;
     std::optional<NamedRest> rest;
+    // Time for which the server states that it stays cold.
+    Micros coldRemaining { 0 };
 };
 
 // Classifies a complete reply to the given request.
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -225,6 +225,7 @@
     m_splitCredit.clear();
     log(events::kDocumentApplied, { { "version", fmt::to_string(event.document->version) }, { "routes", fmt::to_string(event.document->routes.size()) } });
     updateQuotasAndBudgets();
+    updateColdStarts();
     warmConnections();
 }
 
@@ -248,11 +249,15 @@
 void Router::applyServerChanges(const ServerTable::Changes& changes, Micros age)
 {
     logNewServers(changes, age);
+    updateColdStarts();
     for (Server* server : changes.leaving) {
         log(events::kServerLeaving, { { "server", server->record.instance }, { "collection", server->record.collection }, { "listed", server->isRetired ? "false" : "true" }, { "age_us", fmt::to_string(age.count()) }, { "list", fmt::to_string(m_serverListRevision) } });
         withdraw(*server);
     }
-    logNewServers(m_servers.evictRetired(m_now), age);
+    const ServerTable::Changes reinstated = m_servers.evictRetired(m_now);
+    logNewServers(reinstated, age);
+    if (!reinstated.added.empty())
+        updateColdStarts();
     updateQuotasAndBudgets();
     warmConnections();
 }
@@ -342,6 +347,8 @@
         updateQuotasAndBudgets();
     if (m_counters.limitedServers > 0)
         m_counters.limitedServers = m_servers.updateRateLimits(m_now);
+    if (m_counters.coldServers > 0 || !changes.added.empty())
+        updateColdStarts();
     warmConnections();
 }
 
--- a/routing/router.h
+++ b/routing/router.h
@@ -52,6 +52,9 @@
     std::uint64_t heldBack = 0;
     // Number of servers that name a limit at present.
     std::size_t limitedServers = 0;
+    // Number of cold servers whose requests are limited, and the requests a second that this instance may send to all of them.
+    std::size_t coldServers = 0;
+    double coldRequestsPerSecond = 0;
     // Servers that ended while this instance's requests ran on them.
     std::uint64_t serversEnded = 0;
     // Connections that were opened through other instances.
@@ -162,6 +165,8 @@
         bool isAbandoned = false;
         // True if the attempt took a token of the server's limit.
         bool holdsToken = false;
+        // True if it took one of the limit of the server's cold start.
+        bool holdsColdToken = false;
         std::uint32_t priority = 0;
         LatencyProfile* profile = nullptr;
     };
@@ -339,6 +344,9 @@
     // router_limits.cpp: limits that servers name
     void updateLimit(Server& server, const Attempt& attempt, const std::optional<NamedLimit>& named);
     void updateRest(Server& server, const std::optional<NamedRest>& named);
+    void updateColdStarts();
+    void logColdStarts(const EventDescription& description, const std::vector<Server*>& servers);
+    void recordColdTime(Server& server, Micros remaining);
     void logRest(const EventDescription& description, Server& server, Micros duration);
     void logLimit(const EventDescription& description, Server& server, bool isRepeated);
     void recordHeldBack(const Request& request);
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -48,7 +48,7 @@
         } while (server && endsBeforeAnswer(*server, *request.profile));
         request.isOutOfTime = request.isOutOfTime || !server;
     }
-    if (m_counters.limitedServers > 0 && m_servers.recordHeldBack(part.collection, request.route->priority, m_now))
+    if ((m_counters.limitedServers > 0 || m_counters.coldServers > 0) && m_servers.recordHeldBack(part.collection, request.route->priority, m_now))
         ++m_counters.heldBack;
     if (!server || server->waiting.size() >= kMaximumWaitingPerConnection * std::max(1U, server->connectionQuota))
         return false;
@@ -60,6 +60,7 @@
     attempt.server = server;
     attempt.priority = request.route->priority;
     attempt.holdsToken = server->rateLimit && server->rateLimit->tryAcquire(attempt.priority, m_now);
+    attempt.holdsColdToken = server->coldStart.tryAcquire(attempt.priority, m_now);
     attempt.profile = request.profile;
     part.tried.push_back(server);
     ++part.inFlight;
@@ -199,6 +200,8 @@
     // A rejection in one of several forms may name the rest.
     if (isOfServer || event.reply.rest)
         updateRest(server, event.reply.rest);
+    if (isOfServer && event.reply.coldRemaining.count() > 0)
+        recordColdTime(server, event.reply.coldRemaining);
     if (kind == ReplyKind::WrongInstance && !server.isRetired) {
         server.retire(m_now);
         log(events::kServerReplaced, { { "server", server.record.instance }, { "address", server.record.address } });
--- a/routing/router_limits.cpp
+++ b/routing/router_limits.cpp
@@ -88,6 +88,52 @@
 {
     if (attempt.holdsToken && attempt.server->rateLimit)
         attempt.server->rateLimit->release(m_now);
+    if (attempt.holdsColdToken)
+        attempt.server->coldStart.release(m_now);
+}
+
+// Limits the requests to cold servers as the document asks for. What waits for a server that has turned cold has no token and goes to
+// others, once the limits of all servers are known.
+void Router::updateColdStarts()
+{
+    if (!m_table)
+        return;
+    const std::map<CollectionName, CollectionSpec>& specs = m_table->document().collections;
+    std::vector<Server*> begun;
+    std::vector<Server*> ended;
+    m_counters.coldServers = 0;
+    m_counters.coldRequestsPerSecond = 0;
+    for (const auto& [instance, server] : m_servers.all()) {
+        const auto spec = specs.find(server->record.collection);
+        const double limit = spec == specs.end() || server->isRetired ? 0 : spec->second.coldRequestsPerSecond;
+        const ColdStart::Change change = server->coldStart.update(limit, m_servers.instanceCount(m_now), m_random, m_now);
+        if (change == ColdStart::Change::Began)
+            begun.push_back(server.get());
+        if (change == ColdStart::Change::Ended)
+            ended.push_back(server.get());
+        m_counters.coldServers += server->coldStart.isLimited() ? 1 : 0;
+        m_counters.coldRequestsPerSecond += server->coldStart.share();
+    }
+    logColdStarts(events::kServersCold, begun);
+    logColdStarts(events::kServersWarm, ended);
+    for (Server* server : begun)
+        failWaiting(*server);
+}
+
+void Router::logColdStarts(const EventDescription& description, const std::vector<Server*>& servers)
+{
+    if (servers.empty())
+        return;
+    const Server& first = *servers.front();
+    log(description, { { "servers", fmt::to_string(servers.size()) }, { "first", first.record.instance }, { "collection", first.record.collection }, { "remaining_us", fmt::to_string(first.coldStart.remaining(m_now).count()) }, { "cold", fmt::to_string(m_counters.coldServers) }, { "share_per_second", fmt::format("{:.3f}", m_counters.coldRequestsPerSecond) }, { "instances", fmt::to_string(m_servers.instanceCount(m_now)) } });
+}
+
+void Router::recordColdTime(Server& server, Micros remaining)
+{
+    const bool wasCold = server.coldStart.isCold(m_now);
+    server.coldStart.recordRemaining(remaining, Micros { 0 }, m_now);
+    if (!wasCold)
+        updateColdStarts();
 }
 
 // Records a request that is refused because of limits at all servers that it needs. Their tokens are kept, so that a later request
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -73,7 +73,7 @@
 {
     if (now < restsUntil || (isReturning && outstandingAttempts() > 0))
         return false;
-    return !rateLimit || rateLimit->canAcquire(priority, now);
+    return coldStart.canAcquire(priority, now) && (!rateLimit || rateLimit->canAcquire(priority, now));
 }
 
 bool Server::isSilent(TimePoint now) const
@@ -134,7 +134,7 @@
         server = created.get();
         m_servers.emplace(record.instance, std::move(created));
         m_collections[record.collection].push_back(server);
-        server->coldUntil = now + record.coldStartRemaining - age;
+        server->coldStart.recordRemaining(record.coldStartRemaining, age, now);
         changes.added.push_back(server);
         if (record.leaving)
             changes.leaving.push_back(server);
@@ -146,6 +146,7 @@
         server->retire(now);
     server->listed = true;
     server->latestRecord = record;
+    server->coldStart.recordRemaining(record.coldStartRemaining, age, now);
     server->record.leaving = record.leaving;
     server->record.slots = record.slots;
     if (acceptedWork && !server->acceptsWork())
@@ -253,7 +254,7 @@
     const double typical = std::max(1.0, static_cast<double>(estimate.typical.count()));
     const double slots = std::max(1U, server.record.slots);
     double attemptsAhead = server.outstandingAttempts();
-    double factor = now < server.coldUntil ? kColdStartSlowdown : 1;
+    double factor = server.coldStart.isCold(now) ? kColdStartSlowdown : 1;
     factor *= server.quality.slowness(now);
     if (server.loadReportedAt != TimePoint::min() && now - server.loadReportedAt < kLoadReportLifetime) {
         const Micros age = now - server.loadReportedAt;
@@ -333,6 +334,7 @@
             continue;
         if (server->rateLimit)
             server->rateLimit->onHeldBack(priority, now);
+        server->coldStart.onHeldBack(priority, now);
         isHeldBack = true;
     }
     return isHeldBack;
@@ -343,6 +345,7 @@
     for (Server* server : serversOf(collection)) {
         if (server->rateLimit)
             server->rateLimit->keepToken(now);
+        server->coldStart.keepToken(now);
     }
 }
 
@@ -353,7 +356,8 @@
         if (!server->acceptsWork() || !server->isReachable())
             continue;
         const Micros rest = now < server->restsUntil ? std::chrono::duration_cast<Micros>(server->restsUntil - now) : Micros { 0 };
-        shortest = std::min(shortest, std::max(rest, server->rateLimit ? server->rateLimit->timeUntilAvailable(priority, now) : Micros { 0 }));
+        const Micros limit = server->rateLimit ? server->rateLimit->timeUntilAvailable(priority, now) : Micros { 0 };
+        shortest = std::min(shortest, std::max({ rest, limit, server->coldStart.timeUntilAvailable(priority, now) }));
     }
     return shortest;
 }
@@ -397,7 +401,7 @@
             continue;
         }
         if (server.listed)
-            reinstated.push_back(server.latestRecord);
+            reinstated.emplace_back(server.latestRecord).coldStartRemaining = server.coldStart.remaining(now);
         const auto collection = m_collections.find(server.record.collection);
         std::erase(collection->second, &server);
         if (collection->second.empty())
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -7,6 +7,7 @@
 #include "policy/recent_maximum.h"
 #include "policy/server_health.h"
 #include "policy/server_rate_limit.h"
+#include "routing/cold_start.h"
 #include "routing/messages.h"
 #include "routing/server_quality.h"
 
@@ -39,7 +40,7 @@
     TimePoint retiredAt;
     // True if the latest server list contains the server.
     bool listed = true;
-    TimePoint coldUntil;
+    ColdStart coldStart;
     std::vector<ConnectionId> idle;
     // Number of connections, including those that are opening.
     std::uint32_t connections = 0;
--- a/tests/control/server_list_history_test.cpp
+++ b/tests/control/server_list_history_test.cpp
@@ -88,6 +88,22 @@
     BOOST_TEST(history.version().revision == 2u);
 }
 
+// A server turns cold again without a restart. Guards against instances that never learn of it, against a revision for each list while
+// servers are cold, and against a late reader that takes the time of an old list for a new one.
+BOOST_AUTO_TEST_CASE(AServerThatTurnsColdAgainIsAChange)
+{
+    const auto cold = [](Micros remaining) { return ServerList { { "i1", "a", "10.0.0.1:80", "dc-a", 2, false, remaining } }; };
+    const TimePoint start { Micros { 10'000'000 } };
+    ServerListHistory history(7);
+    history.set(cold(Micros { 3'000'000 }), start);
+    BOOST_TEST(!history.set(cold(Micros { 2'050'000 }), start + Micros { 1'000'000 }));
+    BOOST_TEST((history.servers().front().coldStartRemaining == Micros { 2'050'000 }));
+    // Its cold time has begun anew between two lists, so that it is shorter than in the one before.
+    BOOST_TEST(history.set(cold(Micros { 1'900'000 }), start + Micros { 2'000'000 }));
+    BOOST_TEST(!history.set(cold(Micros { 0 }), start + Micros { 6'000'000 }));
+    BOOST_TEST(history.set(cold(Micros { 2'500'000 }), start + Micros { 7'000'000 }));
+}
+
 // Guards against requests to servers that have left: an instance that leads again, or one whose fetch was interrupted by a pause,
 // published a list that was older than that of the leader in between.
 BOOST_AUTO_TEST_CASE(AListFetchedBeforeTheTermIsNotPublished)
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -172,6 +172,12 @@
         reply.fields.back().second = text;
         BOOST_TEST(decodeReplyHeader(reply).leaving == isLeaving, text);
     }
+    BOOST_TEST(header.coldRemaining.count() == 0);
+    reply.fields.emplace_back("X-Curranttrail-Cold-Ms", "");
+    for (const auto& [text, micros] : std::map<std::string, std::int64_t> { { "1500", 1'500'000 }, { " 0 ", 0 }, { "-5", 0 }, { "soon", 0 }, { "99999999999", 1'000'000'000 } }) {
+        reply.fields.back().second = text;
+        BOOST_TEST(decodeReplyHeader(reply).coldRemaining.count() == micros, text);
+    }
     const transport::HttpFields merged = mergedReplyFields({ "a", "b" }, 1);
     BOOST_TEST(*transport::findField(merged, kPartStampsField) == "a, b");
     BOOST_TEST(*transport::findField(merged, kMissingPartsField) == "1");
--- a/tests/routing/router_fleet.h
+++ b/tests/routing/router_fleet.h
@@ -74,6 +74,13 @@
         run(milliseconds { 11'000 });
     }
 
+    // Sends the servers to all instances except the last ones, which are cut off from control.
+    void publish(std::size_t cutOff = 0, Micros age = Micros { 0 })
+    {
+        for (std::size_t n = 0; n + cutOff < routers.size(); ++n)
+            handle(n, ServerListReceived { serverList, age });
+    }
+
     // Replaces an instance by a new process. Its requests are lost.
     void restart(std::size_t instance)
     {
