Find out how many requests each server takes well

cause: the choice counted on all slots of a server, also where its requests take much longer as soon as it runs two change: ServerCapacity learns from durations up to how many requests in flight they stay as they are; ServerTable::cost uses that number instead of the slots. Event 8048, metrics narrow_servers and slow_servers.

--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -411,6 +411,8 @@
         add("held_back_total", "", counters.heldBack);
         add("limited_servers", "", counters.limitedServers);
         add("cold_servers", "", counters.coldServers);
+        add("narrow_servers", "", counters.narrowServers);
+        add("slow_servers", "", counters.slowServers);
         text += fmt::format("curranttrail_cold_requests_per_second {:.3f}\n", counters.coldRequestsPerSecond);
         add("server_connections_relayed_total", "", counters.connectionsRelayed);
         add("relayed_for_others", "", relay ? relay->connections() : 0);
--- a/routing/events.h
+++ b/routing/events.h
@@ -31,6 +31,7 @@
     inline constexpr EventDescription kServerRestUnreadable { 8045, "server_rest_unreadable", Severity::Warning, "A server that rejected a request named a time that is no number of seconds, negative or infinite; it is ignored; at most one line a second for each server." };
     inline constexpr EventDescription kServersCold { 8046, "servers_cold", Severity::Information, "Servers turned cold and take only a limited number of requests a second from all instances together; the fields count them, name the first and give this instance's share at all cold servers." };
     inline constexpr EventDescription kServersWarm { 8047, "servers_warm", Severity::Information, "Servers are no longer cold, or no longer listed; their requests are not limited any more." };
+    inline constexpr EventDescription kServerCapacityChanged { 8048, "server_capacity_changed", Severity::Information, "Durations show that a server slows down at another number of requests in flight than before, or became slower or faster; at most one line in five seconds for each server." };
     inline constexpr EventDescription kServerEnded { 8050, "server_ended", Severity::Warning, "A server closed its connections while requests ran on it and takes no new ones, though others beside it do; the requests become suspect until they are answered elsewhere." };
     inline constexpr EventDescription kRequestSuspected { 8051, "request_suspected", Severity::Information, "A server ended while the request with this fingerprint ran on it; until it is answered it is not repeated on another server." };
     inline constexpr EventDescription kRequestBlocked { 8052, "request_blocked", Severity::Error, "So many servers ended under the request with this fingerprint that it is refused from now on; the fields name the servers and the instances that had sent it." };
@@ -67,6 +68,7 @@
     &events::kServerRestUnreadable,
     &events::kServersCold,
     &events::kServersWarm,
+    &events::kServerCapacityChanged,
     &events::kServerEnded,
     &events::kRequestSuspected,
     &events::kRequestBlocked,
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -349,6 +349,8 @@
         m_counters.limitedServers = m_servers.updateRateLimits(m_now);
     if (m_counters.coldServers > 0 || !changes.added.empty())
         updateColdStarts();
+    if (m_now >= m_nextCapacityReview)
+        reviewCapacities();
     warmConnections();
 }
 
--- a/routing/router.h
+++ b/routing/router.h
@@ -52,6 +52,9 @@
     std::uint64_t heldBack = 0;
     // Number of servers that name a limit at present.
     std::size_t limitedServers = 0;
+    // Servers that slow down before their slots are full, and servers that are slower than others.
+    std::size_t narrowServers = 0;
+    std::size_t slowServers = 0;
     // Number of cold servers whose requests are limited, and the requests a second that this instance may send to all of them.
     std::size_t coldServers = 0;
     double coldRequestsPerSecond = 0;
@@ -168,6 +171,8 @@
         // True if it took one of the limit of the server's cold start.
         bool holdsColdToken = false;
         std::uint32_t priority = 0;
+        // Number of requests that the server held as far as this instance knew when the attempt was sent, this one included.
+        std::uint32_t inFlight = 1;
         LatencyProfile* profile = nullptr;
     };
 
@@ -281,7 +286,7 @@
     void send(AttemptId id, Attempt& attempt, ConnectionId connection);
     void dispatchWaiting(Server& server);
     void abandonAttempt(AttemptId id, bool closeAtOnce);
-    void recordDuration(LatencyProfile& profile, Server& server, Micros duration);
+    void recordDuration(const Attempt& attempt, const std::optional<ServerLoad>& load);
     void recordAbandonedAttempt(const Attempt& attempt);
     void recordServerFailure(Server& server, std::string_view reason);
     void acceptPart(RequestKey key, Request& request, Part& part, ServerReply reply);
@@ -347,6 +352,11 @@
     void updateColdStarts();
     void logColdStarts(const EventDescription& description, const std::vector<Server*>& servers);
     void recordColdTime(Server& server, Micros remaining);
+
+    // router_capacity.cpp: what servers take well
+    void recordCapacity(const Attempt& attempt, const std::optional<ServerLoad>& load, double ratio);
+    void reviewCapacities();
+    void logCapacity(Server& server, const policy::CapacityEstimate& capacity);
     void logRest(const EventDescription& description, Server& server, Micros duration);
     void logLimit(const EventDescription& description, Server& server, bool isRepeated);
     void recordHeldBack(const Request& request);
@@ -410,6 +420,7 @@
     // Start of the latest exchange with a server of each data centre that succeeded.
     std::map<DataCentreName, TimePoint> m_reachedAt;
     TimePoint m_nextSweep;
+    TimePoint m_nextCapacityReview;
     // Time at which this process ends; kNever while no stop was requested.
     TimePoint m_endsAt = kNever;
     // Recent delay of this process's timers; follows increases quickly and decreases slowly.
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -98,6 +98,7 @@
     busyConnection.attempt = id;
     busyConnection.wasUsed = true;
     attempt.server->unanswered.emplace(id, m_now);
+    attempt.inFlight = static_cast<std::uint32_t>(attempt.server->unanswered.size());
     ++m_counters.attempts;
     if (++part.sent == 1)
         budgetOf(part.collection).onFirstAttempt(m_now);
@@ -133,11 +134,17 @@
         m_abandonedAttempts.push_back({ m_now, id });
 }
 
-void Router::recordDuration(LatencyProfile& profile, Server& server, Micros duration)
+void Router::recordDuration(const Attempt& attempt, const std::optional<ServerLoad>& load)
 {
+    LatencyProfile& profile = *attempt.profile;
+    Server& server = *attempt.server;
+    const Micros duration = std::chrono::duration_cast<Micros>(m_now - attempt.sentAt);
     server.recordDuration(profile.index, duration, m_now);
-    if (profile.durations.weight() >= kMinimumSamples)
-        server.quality.onDuration(static_cast<double>(duration.count()) / static_cast<double>(std::max<Micros::rep>(1, profile.durations.median().count())), m_now);
+    if (profile.durations.weight() >= kMinimumSamples) {
+        const double ratio = static_cast<double>(duration.count()) / static_cast<double>(std::max<Micros::rep>(1, profile.durations.median().count()));
+        server.quality.onDuration(ratio, m_now);
+        recordCapacity(attempt, load, ratio);
+    }
     profile.durations.add(duration);
     if (profile.samplesUntilRefresh > 0) {
         --profile.samplesUntilRefresh;
@@ -218,7 +225,7 @@
     if (kind == ReplyKind::Success || kind == ReplyKind::Failure)
         recordAnswer(attempt.fingerprint, server.record.collection);
     if (kind == ReplyKind::Success)
-        recordDuration(*attempt.profile, server, std::chrono::duration_cast<Micros>(m_now - attempt.sentAt));
+        recordDuration(attempt, event.reply.load);
     if (beginsToLeave) {
         log(events::kServerSaysLeaving, { { "server", server.record.instance }, { "collection", server.record.collection }, { "listed", server.listed ? "true" : "false" }, { "list", fmt::to_string(m_serverListRevision) } });
         withdraw(server);
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -252,7 +252,8 @@
 double ServerTable::cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const
 {
     const double typical = std::max(1.0, static_cast<double>(estimate.typical.count()));
-    const double slots = std::max(1U, server.record.slots);
+    // Beyond this number requests wait, or take as much longer.
+    const double slots = server.capacity.estimate(server.record.slots, now).usableSlots;
     double attemptsAhead = server.outstandingAttempts();
     double factor = server.coldStart.isCold(now) ? kColdStartSlowdown : 1;
     factor *= server.quality.slowness(now);
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -5,6 +5,7 @@
 #include "core/units.h"
 #include "policy/connection_shares.h"
 #include "policy/recent_maximum.h"
+#include "policy/server_capacity.h"
 #include "policy/server_health.h"
 #include "policy/server_rate_limit.h"
 #include "routing/cold_start.h"
@@ -31,6 +32,11 @@
     ServerRecord latestRecord;
     policy::ServerHealth health;
     ServerQuality quality;
+    // What the server takes well, as far as this instance's attempts have shown.
+    policy::ServerCapacity capacity;
+    // The estimate that was last logged, and when.
+    policy::CapacityEstimate loggedCapacity;
+    TimePoint capacityLoggedAt = TimePoint::min();
     // Set once a reply of the server has stated that it leaves. A list that still names it as good is older, or made without asking it, so
     // that this holds as long as the list names this incarnation.
     bool saysLeaving = false;
