--- a/routing/router.h
+++ b/routing/router.h
@@ -286,7 +286,7 @@
     void send(AttemptId id, Attempt& attempt, ConnectionId connection);
     void dispatchWaiting(Server& server);
     void abandonAttempt(AttemptId id, bool closeAtOnce);
-    void recordDuration(const Attempt& attempt, const std::optional<ServerLoad>& load);
+    void recordDuration(const Attempt& attempt, bool hasReportedLoad);
     void recordAbandonedAttempt(const Attempt& attempt);
     void recordServerFailure(Server& server, std::string_view reason);
     void acceptPart(RequestKey key, Request& request, Part& part, ServerReply reply);
@@ -354,7 +354,7 @@
     void recordColdTime(Server& server, Micros remaining);
 
     // router_capacity.cpp: what servers take well
-    void recordCapacity(const Attempt& attempt, const std::optional<ServerLoad>& load, double ratio);
+    void recordCapacity(const Attempt& attempt, bool hasReportedLoad, double ratio);
     void reviewCapacities();
     void logCapacity(Server& server, const policy::CapacityEstimate& capacity);
     void logRest(const EventDescription& description, Server& server, Micros duration);
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -134,7 +134,7 @@
         m_abandonedAttempts.push_back({ m_now, id });
 }
 
-void Router::recordDuration(const Attempt& attempt, const std::optional<ServerLoad>& load)
+void Router::recordDuration(const Attempt& attempt, bool hasReportedLoad)
 {
     LatencyProfile& profile = *attempt.profile;
     Server& server = *attempt.server;
@@ -143,7 +143,7 @@
     if (profile.durations.weight() >= kMinimumSamples) {
         const double ratio = static_cast<double>(duration.count()) / static_cast<double>(std::max<Micros::rep>(1, profile.durations.median().count()));
         server.quality.onDuration(ratio, m_now);
-        recordCapacity(attempt, load, ratio);
+        recordCapacity(attempt, hasReportedLoad, ratio);
     }
     profile.durations.add(duration);
     if (profile.samplesUntilRefresh > 0) {
@@ -197,11 +197,8 @@
         recordReached(false);
     else
         m_relays.recordSuccess(relay, m_now);
-    if (event.reply.load) {
-        server.load = *event.reply.load;
-        server.loadReportedAt = m_now;
-        server.ownAttemptsInLoad = static_cast<std::uint32_t>(server.unanswered.size());
-    }
+    if (event.reply.load)
+        server.recordLoad(*event.reply.load, kind == ReplyKind::Success || kind == ReplyKind::Failure, m_now);
     if (isOfServer)
         updateLimit(server, attempt, event.reply.limit);
     // A rejection in one of several forms may name the rest.
@@ -225,7 +222,7 @@
     if (kind == ReplyKind::Success || kind == ReplyKind::Failure)
         recordAnswer(attempt.fingerprint, server.record.collection);
     if (kind == ReplyKind::Success)
-        recordDuration(attempt, event.reply.load);
+        recordDuration(attempt, event.reply.load.has_value());
     if (beginsToLeave) {
         log(events::kServerSaysLeaving, { { "server", server.record.instance }, { "collection", server.record.collection }, { "listed", server.listed ? "true" : "false" }, { "list", fmt::to_string(m_serverListRevision) } });
         withdraw(server);
--- a/routing/router_capacity.cpp
+++ b/routing/router_capacity.cpp
@@ -14,17 +14,17 @@
     constexpr Micros kCapacityLogInterval { 5'000'000 };
     // Changes of more servers at once are only counted.
     constexpr std::size_t kMaximumLinesPerReview = 10;
-    // Part of its slots below which a server counts as narrow, and factor from which on it counts as slow.
+    // Part of its slots below which a server counts as narrow, and factor from which on it counts as slow: a single pause is not enough.
     constexpr double kNarrowPart = 0.75;
-    constexpr double kSlowFactor = 1.3;
+    constexpr double kSlowFactor = 1.5;
     // Changes by less are not logged.
     constexpr double kLoggedPart = 0.25;
 } // namespace
 
-// A server reports its load when it replies, without the request that it replies to.
-void Router::recordCapacity(const Attempt& attempt, const std::optional<ServerLoad>& load, double ratio)
+void Router::recordCapacity(const Attempt& attempt, bool hasReportedLoad, double ratio)
 {
-    const std::uint32_t reported = load ? 1 + load->running + load->waiting : 1;
+    const ServerLoad& load = attempt.server->load;
+    const std::uint32_t reported = hasReportedLoad ? 1 + load.running + load.waiting : 1;
     attempt.server->capacity.onReply(std::max(attempt.inFlight, reported), ratio, attempt.server->record.slots, m_now);
 }
 
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -93,6 +93,16 @@
     return profile < longestDurations.size() ? longestDurations[profile].longest(now) : Micros { 0 };
 }
 
+void Server::recordLoad(const ServerLoad& reported, bool hasRun, TimePoint now)
+{
+    load = reported;
+    reportsOtherLoadOnly = reportsOtherLoadOnly || (hasRun && load.running == 0);
+    if (hasRun && !reportsOtherLoadOnly)
+        --load.running;
+    loadReportedAt = now;
+    ownAttemptsInLoad = static_cast<std::uint32_t>(unanswered.size());
+}
+
 ServerTable::ServerTable(DataCentreName dataCentre, InstanceName self)
     : m_dataCentre(std::move(dataCentre))
     , m_self(std::move(self))
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -55,7 +55,10 @@
     std::map<AttemptId, TimePoint> unanswered;
     // Attempts that wait for a connection.
     std::vector<AttemptId> waiting;
+    // The latest reported load, without the request that the report came with.
     ServerLoad load;
+    // True once the server has replied that nothing runs: then it does not count the request that it replies to.
+    bool reportsOtherLoadOnly = false;
     TimePoint loadReportedAt = TimePoint::min();
     // Number of this instance's attempts that the reported load included.
     std::uint32_t ownAttemptsInLoad = 0;
@@ -99,6 +102,8 @@
     void recordDuration(std::size_t profile, Micros duration, TimePoint now);
     // Returns the longest recent duration of attempts with this profile, or zero if there were none.
     Micros longestDuration(std::size_t profile, TimePoint now) const;
+    // Takes over the load that a reply reports; hasRun is true if the server has run the request.
+    void recordLoad(const ServerLoad& reported, bool hasRun, TimePoint now);
     bool isReachable() const { return !isUnverified || connections > opening; }
     // Returns whether a request of this priority may be sent as far as the limit and the rest that the server names are concerned.
     bool isWithinLimit(std::uint32_t priority, TimePoint now) const;
--- a/tests/routing/server_signals_test.cpp
+++ b/tests/routing/server_signals_test.cpp
@@ -152,4 +152,26 @@
     BOOST_TEST(harness.takeSent().size() == 1u);
 }
 
+// A lone request after another is answered with a load of one, the request itself. Guards against a choice that takes an idle server for a
+// busy one and sends the next request to another data centre, and against one that takes a busy server for an idle one where servers
+// count other requests only.
+BOOST_AUTO_TEST_CASE(TheRequestThatAReportCameWithIsNotTakenForAnother)
+{
+    const TimePoint now { Micros { 1'000'000 } };
+    Server server({ "i1", "shard", "10.0.0.1:80", "dc-a", 2, false, Micros { 0 } }, now);
+    server.recordLoad({ 1, 0, 2, 1 }, true, now);
+    BOOST_TEST(server.load.running == 0u);
+    server.recordLoad({ 2, 3, 2, 1 }, true, now);
+    BOOST_TEST(server.load.running == 1u);
+    BOOST_TEST(server.load.waiting == 3u);
+    // A request that was rejected does not run.
+    server.recordLoad({ 2, 12, 2, 1 }, false, now);
+    BOOST_TEST(server.load.running == 2u);
+    // A server that does not count the request itself.
+    server.recordLoad({ 0, 0, 2, 1 }, true, now);
+    BOOST_TEST(server.load.running == 0u);
+    server.recordLoad({ 1, 0, 2, 1 }, true, now);
+    BOOST_TEST(server.load.running == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
