--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -49,7 +49,7 @@
         } while (server && endsBeforeAnswer(*server, *request.profile));
         request.isOutOfTime = request.isOutOfTime || !server;
     }
-    if (m_counters.limitedServers > 0 && m_servers.recordHeldBack(part.collection, request.priority, m_now))
+    if ((m_counters.limitedServers > 0 || m_counters.coldServers > 0) && m_servers.recordHeldBack(part.collection, request.priority, m_now))
         ++m_counters.heldBack;
     if (!server || server->waiting.size() >= kMaximumWaitingPerConnection * std::max(1U, server->connectionQuota))
         return false;
@@ -61,6 +61,7 @@
     attempt.server = server;
     attempt.priority = request.priority;
     attempt.holdsToken = server->rateLimit && server->rateLimit->tryAcquire(attempt.priority, m_now);
+    attempt.holdsColdToken = server->coldStart.tryAcquire(attempt.priority, m_now);
     attempt.profile = request.profile;
     if (part.sent > 0)
         attempt.reason = part.inFlight > 0 ? AttemptReason::Hedge : AttemptReason::Retry;
@@ -100,6 +101,7 @@
     busyConnection.attempt = id;
     busyConnection.wasUsed = true;
     attempt.server->unanswered.emplace(id, m_now);
+    attempt.inFlight = static_cast<std::uint32_t>(attempt.server->unanswered.size());
     ++m_counters.attempts;
     const bool isAtHome = attempt.server->record.dataCentre == m_options.dataCentre;
     ++(isAtHome ? m_counters.attemptsAtHome : m_counters.attemptsElsewhere)[static_cast<std::size_t>(attempt.reason)];
@@ -137,11 +139,17 @@
         m_abandonedAttempts.push_back({ m_now, id });
 }
 
-void Router::recordDuration(LatencyProfile& profile, Server& server, Micros duration)
+void Router::recordDuration(const Attempt& attempt, bool hasReportedLoad)
 {
+    LatencyProfile& profile = *attempt.profile;
+    Server& server = *attempt.server;
+    const Micros duration = std::chrono::duration_cast<Micros>(m_now - attempt.sentAt);
     server.recordDuration(profile.index, duration, m_now);
-    if (profile.durations.weight() >= kMinimumSamples)
-        server.quality.onDuration(static_cast<double>(duration.count()) / static_cast<double>(std::max<Micros::rep>(1, profile.durations.median().count())), m_now);
+    if (profile.durations.weight() >= kMinimumSamples) {
+        const double ratio = static_cast<double>(duration.count()) / static_cast<double>(std::max<Micros::rep>(1, profile.durations.median().count()));
+        server.quality.onDuration(ratio, m_now);
+        recordCapacity(attempt, hasReportedLoad, ratio);
+    }
     profile.durations.add(duration);
     if (profile.samplesUntilRefresh > 0) {
         --profile.samplesUntilRefresh;
@@ -195,9 +203,7 @@
     else
         m_relays.recordSuccess(relay, m_now);
     if (event.reply.load) {
-        server.load = *event.reply.load;
-        server.loadReportedAt = m_now;
-        server.ownAttemptsInLoad = static_cast<std::uint32_t>(server.unanswered.size());
+        server.recordLoad(*event.reply.load, kind == ReplyKind::Success || kind == ReplyKind::Failure, m_now);
         recordLoad(server);
     }
     if (isOfServer)
@@ -205,6 +211,8 @@
     // A rejection in one of several forms may name the rest.
     if (isOfServer || event.reply.rest)
         updateRest(server, event.reply.rest);
+    if (isOfServer && event.reply.coldRemaining.count() > 0)
+        recordColdTime(server, event.reply.coldRemaining);
     if (kind == ReplyKind::WrongInstance && !server.isRetired) {
         server.retire(m_now);
         log(events::kServerReplaced, { { "server", server.record.instance }, { "address", server.record.address } });
@@ -221,7 +229,7 @@
     if (kind == ReplyKind::Success || kind == ReplyKind::Failure)
         recordAnswer(attempt.fingerprint, server.record.collection);
     if (kind == ReplyKind::Success)
-        recordDuration(*attempt.profile, server, std::chrono::duration_cast<Micros>(m_now - attempt.sentAt));
+        recordDuration(attempt, event.reply.load.has_value());
     if (beginsToLeave) {
         log(events::kServerSaysLeaving, { { "server", server.record.instance }, { "collection", server.record.collection }, { "listed", server.listed ? "true" : "false" }, { "list", fmt::to_string(m_serverListRevision) } });
         withdraw(server);
--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -66,7 +66,7 @@
 {
     if (now < restsUntil || (isReturning && outstandingAttempts() > 0))
         return false;
-    return !rateLimit || rateLimit->canAcquire(priority, now);
+    return coldStart.canAcquire(priority, now) && (!rateLimit || rateLimit->canAcquire(priority, now));
 }
 
 bool Server::isSilent(TimePoint now) const
@@ -86,6 +86,16 @@
     return profile < longestDurations.size() ? longestDurations[profile].longest(now) : Micros { 0 };
 }
 
+void Server::recordLoad(const ServerLoad& reported, bool hasRun, TimePoint now)
+{
+    load = reported;
+    reportsOtherLoadOnly = reportsOtherLoadOnly || (hasRun && load.running == 0);
+    if (hasRun && !reportsOtherLoadOnly)
+        --load.running;
+    loadReportedAt = now;
+    ownAttemptsInLoad = static_cast<std::uint32_t>(unanswered.size());
+}
+
 ServerTable::ServerTable(DataCentreName dataCentre, InstanceName self)
     : m_dataCentre(std::move(dataCentre))
     , m_self(std::move(self))
@@ -127,7 +137,7 @@
         server = created.get();
         m_servers.emplace(record.instance, std::move(created));
         m_collections[record.collection].push_back(server);
-        server->coldUntil = now + record.coldStartRemaining - age;
+        server->coldStart.recordRemaining(record.coldStartRemaining, age, now);
         server->isEvacuated = m_evacuations.contains(record.dataCentre);
         changes.added.push_back(server);
         if (record.leaving)
@@ -140,6 +150,7 @@
         server->retire(now);
     server->listed = true;
     server->latestRecord = record;
+    server->coldStart.recordRemaining(record.coldStartRemaining, age, now);
     server->record.leaving = record.leaving;
     server->record.slots = record.slots;
     if (acceptedWork && !server->acceptsWork())
@@ -200,9 +211,10 @@
 double ServerTable::cost(const Server& server, const WorkEstimate& estimate, TimePoint now) const
 {
     const double typical = std::max(1.0, static_cast<double>(estimate.typical.count()));
-    const double slots = std::max(1U, server.record.slots);
+    // Beyond this number requests wait, or take as much longer.
+    const double slots = server.capacity.estimate(server.record.slots, now).usableSlots;
     double attemptsAhead = server.outstandingAttempts();
-    double factor = now < server.coldUntil ? kColdStartSlowdown : 1;
+    double factor = server.coldStart.isCold(now) ? kColdStartSlowdown : 1;
     factor *= server.quality.slowness(now);
     if (server.loadReportedAt != TimePoint::min() && now - server.loadReportedAt < kLoadReportLifetime) {
         const Micros age = now - server.loadReportedAt;
@@ -290,6 +302,7 @@
             continue;
         if (server->rateLimit)
             server->rateLimit->onHeldBack(priority, now);
+        server->coldStart.onHeldBack(priority, now);
         isHeldBack = true;
     }
     return isHeldBack;
@@ -300,6 +313,7 @@
     for (Server* server : serversOf(collection)) {
         if (server->rateLimit)
             server->rateLimit->keepToken(now);
+        server->coldStart.keepToken(now);
     }
 }
 
@@ -310,7 +324,8 @@
         if (!server->acceptsWork() || !server->isReachable())
             continue;
         const Micros rest = now < server->restsUntil ? std::chrono::duration_cast<Micros>(server->restsUntil - now) : Micros { 0 };
-        shortest = std::min(shortest, std::max(rest, server->rateLimit ? server->rateLimit->timeUntilAvailable(priority, now) : Micros { 0 }));
+        const Micros limit = server->rateLimit ? server->rateLimit->timeUntilAvailable(priority, now) : Micros { 0 };
+        shortest = std::min(shortest, std::max({ rest, limit, server->coldStart.timeUntilAvailable(priority, now) }));
     }
     return shortest;
 }
@@ -354,7 +369,7 @@
             continue;
         }
         if (server.listed)
-            reinstated.push_back(server.latestRecord);
+            reinstated.emplace_back(server.latestRecord).coldStartRemaining = server.coldStart.remaining(now);
         const auto collection = m_collections.find(server.record.collection);
         std::erase(collection->second, &server);
         if (collection->second.empty())
--- a/routing/server_table.h
+++ b/routing/server_table.h
@@ -6,8 +6,10 @@
 #include "policy/connection_plan.h"
 #include "policy/connection_shares.h"
 #include "policy/recent_maximum.h"
+#include "policy/server_capacity.h"
 #include "policy/server_health.h"
 #include "policy/server_rate_limit.h"
+#include "routing/cold_start.h"
 #include "routing/evacuation_set.h"
 #include "routing/messages.h"
 #include "routing/server_quality.h"
@@ -32,6 +34,11 @@
     ServerRecord latestRecord;
     policy::ServerHealth health;
     ServerQuality quality;
+    // What the server takes well, as far as this instance's attempts have shown.
+    policy::ServerCapacity capacity;
+    // The estimate that was last logged, and when.
+    policy::CapacityEstimate loggedCapacity;
+    TimePoint capacityLoggedAt = TimePoint::min();
     // Set once a reply of the server has stated that it leaves. A list that still names it as good is older, or made without asking it, so
     // that this holds as long as the list names this incarnation.
     bool saysLeaving = false;
@@ -43,7 +50,7 @@
     TimePoint retiredAt;
     // True if the latest server list contains the server.
     bool listed = true;
-    TimePoint coldUntil;
+    ColdStart coldStart;
     std::vector<ConnectionId> idle;
     // Number of connections, including those that are opening.
     std::uint32_t connections = 0;
@@ -52,7 +59,10 @@
     std::map<AttemptId, TimePoint> unanswered;
     // Attempts that wait for a connection.
     std::vector<AttemptId> waiting;
+    // The latest reported load, without the request that the report came with.
     ServerLoad load;
+    // True once the server has replied that nothing runs: then it does not count the request that it replies to.
+    bool reportsOtherLoadOnly = false;
     TimePoint loadReportedAt = TimePoint::min();
     // Number of this instance's attempts that the reported load included.
     std::uint32_t ownAttemptsInLoad = 0;
@@ -99,6 +109,8 @@
     void recordDuration(std::size_t profile, Micros duration, TimePoint now);
     // Returns the longest recent duration of attempts with this profile, or zero if there were none.
     Micros longestDuration(std::size_t profile, TimePoint now) const;
+    // Takes over the load that a reply reports; hasRun is true if the server has run the request.
+    void recordLoad(const ServerLoad& reported, bool hasRun, TimePoint now);
     bool isReachable() const { return !isUnverified || connections > opening; }
     // Returns whether a request of this priority may be sent as far as the limit and the rest that the server names are concerned.
     bool isWithinLimit(std::uint32_t priority, TimePoint now) const;
