--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -129,9 +129,14 @@
 std::string encodeWatchReply(const WatchReply& message)
 {
     std::string bytes = detail::encodeValue(message);
-    if (!message.leavingServers.empty())
+    if (!message.leavingServers.empty() || message.limitedAccounts)
         bytes += detail::encodeValue(message.leavingServers);
-    return bytes;
+    if (!message.limitedAccounts)
+        return bytes;
+    std::vector<std::uint64_t> accounts;
+    for (const policy::AccountId account : *message.limitedAccounts)
+        accounts.push_back(account.value);
+    return bytes + detail::encodeValue(accounts);
 }
 
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
@@ -140,10 +145,18 @@
     std::optional<WatchReply> reply = detail::decodeValue<WatchReply>(bytes, kMaximumReplyBytes, &extension);
     if (!reply || extension.empty())
         return reply;
-    std::optional<std::vector<std::string>> leavingServers = detail::decodeValue<std::vector<std::string>>(extension, kMaximumReplyBytes);
+    std::optional<std::vector<std::string>> leavingServers = detail::decodeValue<std::vector<std::string>>(extension, kMaximumReplyBytes, &extension);
     if (!leavingServers)
         return std::nullopt;
     reply->leavingServers = std::move(*leavingServers);
+    if (extension.empty())
+        return reply;
+    const std::optional<std::vector<std::uint64_t>> accounts = detail::decodeValue<std::vector<std::uint64_t>>(extension, kMaximumReplyBytes);
+    if (!accounts)
+        return std::nullopt;
+    reply->limitedAccounts.emplace();
+    for (const std::uint64_t value : *accounts)
+        reply->limitedAccounts->push_back({ value });
     return reply;
 }
 
--- a/control/feed.h
+++ b/control/feed.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/request_fingerprint.h"
 #include "core/units.h"
+#include "policy/account_quota.h"
 #include "routing/server_record.h"
 
 #include <array>
@@ -80,6 +81,10 @@
 // heard of. To a leader that does not know the bit, the sender holds a newer document than any, so that the leader sends none.
 inline constexpr std::uint64_t kFetchesDocumentBit = 1ull << 63;
 
+// Set beside it if the sender knows WatchReply::limitedAccounts.
+inline constexpr std::uint64_t kKnowsQuotasBit = 1ull << 62;
+inline constexpr std::uint64_t kDocumentVersionMask = kKnowsQuotasBit - 1;
+
 // Sent by an entry instance, with the versions that it holds.
 struct WatchRequest {
     EntryInstance instance;
@@ -114,6 +119,8 @@
     // older than one that a leader published, so it says nothing of the other servers. Encoded after the other members, and only sent to
     // requesters that set kFetchesDocumentBit: earlier builds refuse a reply with more than they know.
     std::vector<std::string> leavingServers;
+    // Client accounts that are at their limits. Present only if the document has quotas and the requester set kKnowsQuotasBit.
+    std::optional<std::vector<policy::AccountId>> limitedAccounts;
     // Reports that changed since the requester's version. The version is that of the last one included.
     ListVersion crashVersion;
     std::vector<CrashReport> crashes;
--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -1,5 +1,6 @@
 #include "main/control_feed.h"
 
+#include "control/quota_messages.h"
 #include "main/feed_events.h"
 #include "main/group_links.h"
 #include "transport/control_protocol.h"
@@ -26,6 +27,8 @@
     constexpr Micros kFirstPartTimeout { 600'000 };
     // An instance that sent no parts may be of a later build after this time.
     constexpr Micros kPartProbeInterval { 60'000'000 };
+    // Shorter than credits live; a leader of an earlier build does not answer.
+    constexpr Micros kQuotaTimeout { 500'000 };
     constexpr Micros kFailureRetryDelay { 100'000 };
     // Short, because a control instance without a leader delays its reply already.
     constexpr Micros kNoLeaderRetryDelay { 50'000 };
@@ -81,12 +84,31 @@
     m_loop.post([this, records = std::move(records)] { m_crashes.update(records, transport::monotonicNow()); });
 }
 
+void ControlFeed::reportQuotas(const policy::QuotaReport& report)
+{
+    m_loop.post([this, bytes = control::encodeQuotaReport(report)] { sendQuotaReport(bytes); });
+}
+
+void ControlFeed::sendQuotaReport(const std::string& report)
+{
+    if (!m_handlers.quotasReplied)
+        return;
+    if (!m_client || !m_following) {
+        m_handlers.quotasReplied(std::nullopt);
+        return;
+    }
+    m_client->request(static_cast<std::uint16_t>(transport::MessageType::ReportQuotas), report, kQuotaTimeout, [this](const transport::RequestResult& result) {
+        if (m_handlers.quotasReplied)
+            m_handlers.quotasReplied(result.status == transport::RequestStatus::Answered ? control::decodeQuotaReply(result.body) : std::nullopt);
+    });
+}
+
 void ControlFeed::watch()
 {
     if (!m_handlers.reply || !m_client)
         return;
     m_crashes.fill(m_nextWatch, transport::monotonicNow());
-    m_nextWatch.documentVersion = m_sendsParts ? m_transfer.announced() | control::kFetchesDocumentBit : m_transfer.received();
+    m_nextWatch.documentVersion = m_sendsParts ? m_transfer.announced() | control::kFetchesDocumentBit | control::kKnowsQuotasBit : m_transfer.received();
     m_client->request(static_cast<std::uint16_t>(transport::MessageType::Watch), control::encodeWatch(m_nextWatch), m_following ? kWatchTimeout : kFirstWatchTimeout,
         [this](const transport::RequestResult& result) {
             if (m_handlers.reply)
--- a/main/control_feed.h
+++ b/main/control_feed.h
@@ -27,6 +27,8 @@
         std::function<void(std::string content)> document;
         // Called with the servers that leave according to a control instance that knows no leader.
         std::function<void(std::vector<std::string> servers, Micros age)> serversLeaving;
+        // Called after each reportQuotas(), without a reply if the leader does not answer.
+        std::function<void(std::optional<policy::QuotaReply> reply)> quotasReplied;
         // Called when the watched leader no longer answers.
         std::function<void()> disconnected;
     };
@@ -42,6 +44,8 @@
     void withdrawRelay();
     // Tells the leader of crash records of this instance that changed.
     void shareCrashes(std::vector<policy::CrashRecord> records);
+    // Sends the leader a report of quotas.
+    void reportQuotas(const policy::QuotaReport& report);
 
 private:
     void watch();
@@ -55,6 +59,7 @@
     void watchAfter(Micros delay);
     void fetchNextPart();
     void handlePart(const transport::RequestResult& result);
+    void sendQuotaReport(const std::string& report);
 
     const InstanceName m_name;
     GroupConnection m_groupConnection;
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -12,6 +12,7 @@
 #include "main/feed_events.h"
 #include "main/feed_publisher.h"
 #include "main/group_links.h"
+#include "main/quota_publisher.h"
 #include "main/server_list_poller.h"
 #include "main/settings_change.h"
 #include "transport/http_router.h"
@@ -57,7 +58,8 @@
         , runtime(reducerOptions(settings), settings.dataFolder, sink,
               [this](const InstanceName& to, const control::PeerMessage& message) { links.sendToPeer(to, message); })
         , memberChangePlanner(std::max<std::size_t>(kMinimumVoters, static_cast<std::size_t>(2 * settings.toleratedDiskLosses + 1)))
-        , publisher(links.loop(), runtime, sink)
+        , publisher(links.loop(), runtime, sink, [this] { return quotaPublisher.limited(); })
+        , quotaPublisher(links.loop(), runtime, sink, [this] { publisher.limitReached(); })
         , documentPublisher(links.loop(), runtime)
         , poller(threads, settings.serverList, settings.listCallsPerSecond, sink, [this](routing::ServerList servers, TimePoint fetchStartedAt) { publish(std::move(servers), fetchStartedAt); })
         , api(runtime, sink, settings.http.port)
@@ -112,13 +114,18 @@
         };
         handlers.watch = [this](control::WatchRequest request, transport::FrameResponder respond) { publisher.watch(std::move(request), std::move(respond)); };
         handlers.fetchDocument = [this](const control::DocumentPartRequest& request, transport::FrameResponder respond) { documentPublisher.fetch(request, std::move(respond)); };
+        handlers.reportQuotas = [this](policy::QuotaReport report, transport::FrameResponder respond) { quotaPublisher.report(std::move(report), std::move(respond)); };
         runtime.onLeader([this](const control::LeaderChanged& change) {
+            quotaPublisher.leaderChanged(change);
             publisher.leaderChanged(change);
             // A new leader fetches the server list without waiting for the next tick.
             if (change.leads)
                 checkGroup();
         });
-        runtime.onDocument([this](std::uint64_t) { publisher.documentChanged(); });
+        runtime.onDocument([this](std::uint64_t) {
+            quotaPublisher.documentChanged();
+            publisher.documentChanged();
+        });
         runtime.start();
         links.start(std::move(handlers));
         scheduleTick();
@@ -129,6 +136,7 @@
         links.loop().after(kTickInterval, [this] {
             publisher.tick();
             documentPublisher.tick();
+            quotaPublisher.tick(metrics);
             checkGroup();
             scheduleTick();
         });
@@ -358,6 +366,7 @@
     // Used only on the event loop's thread.
     control::MemberChangePlanner memberChangePlanner;
     FeedPublisher publisher;
+    QuotaPublisher quotaPublisher;
     DocumentPublisher documentPublisher;
     ServerListPoller poller;
     DocumentApi api;
--- a/main/feed_events.h
+++ b/main/feed_events.h
@@ -30,6 +30,8 @@
     inline constexpr EventDescription kDocumentPartRefused { 1224, "document_part_refused", Severity::Warning, "A part of a configuration document does not fit what is held of it; it is fetched again." };
     inline constexpr EventDescription kDocumentUnreadable { 1222, "document_unreadable", Severity::Error, "A committed configuration document could not be decoded; the previous one stays active." };
     inline constexpr EventDescription kForeignReplyDropped { 1225, "foreign_reply_dropped", Severity::Warning, "A server sent a reply to another request, such as a late second copy; it was dropped and the reply to this request is awaited." };
+    inline constexpr EventDescription kAccountLimited { 1240, "account_limited", Severity::Information, "A client account has used up its quota; entry instances admit its requests only on credits of this leader." };
+    inline constexpr EventDescription kAccountReopened { 1241, "account_reopened", Severity::Information, "A client account is within its quota again; entry instances admit its requests without waiting for credits." };
     inline constexpr EventDescription kSettingsReloaded { 1230, "settings_reloaded", Severity::Information, "The settings file was reloaded; what can be changed while the process runs is in use from now on." };
     inline constexpr EventDescription kSettingsRefused { 1231, "settings_refused", Severity::Error, "The reloaded settings file has errors; the previous settings stay in use." };
 
@@ -62,6 +64,8 @@
     &events::kSettingsRefused,
     &events::kServerListMoved,
     &events::kSettingNeedsRestart,
+    &events::kAccountLimited,
+    &events::kAccountReopened,
 };
 
 } // namespace curranttrail
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -23,10 +23,11 @@
     constexpr Micros kUnconfirmedListLifetime { 3'000'000 };
 }
 
-FeedPublisher::FeedPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink)
+FeedPublisher::FeedPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink, LimitedAccounts limitedAccounts)
     : m_loop(loop)
     , m_runtime(runtime)
     , m_sink(sink)
+    , m_limitedAccounts(std::move(limitedAccounts))
     , m_history(generateSeed())
     , m_crashes(generateSeed())
     , m_entryListVersion { m_history.version().epoch, 0 }
@@ -48,7 +49,7 @@
         const control::CommittedDocument& document = reducer.state().document;
         const bool leads = status.role == control::Role::Leader && status.leaseValid;
         const bool withoutLeader = !leads && (!status.leader || status.role == control::Role::Leader);
-        const std::uint64_t knownVersion = pending.request.documentVersion & ~control::kFetchesDocumentBit;
+        const std::uint64_t knownVersion = pending.request.documentVersion & control::kDocumentVersionMask;
         const bool fetchesDocument = (pending.request.documentVersion & control::kFetchesDocumentBit) != 0;
         const bool hasNewDocument = leads && document.version > knownVersion;
         control::CommittedDocument replyDocument { document.version, hasNewDocument && !fetchesDocument ? document.content : std::string {} };
@@ -93,6 +94,8 @@
         }
     }
     m_crashes.fill(reply, pending.request.crashVersion, now);
+    if (reply.leads && (pending.request.documentVersion & control::kKnowsQuotasBit) != 0)
+        reply.limitedAccounts = m_limitedAccounts();
     pending.respond(control::encodeWatchReply(reply));
 }
 
--- a/main/feed_publisher.h
+++ b/main/feed_publisher.h
@@ -9,8 +9,10 @@
 #include "transport/frame_link.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace curranttrail {
@@ -20,13 +22,18 @@
 // unless stated otherwise.
 class FeedPublisher {
 public:
-    FeedPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink);
+    // Returns the client accounts that are at their limits, or nothing if there are no quotas.
+    using LimitedAccounts = std::function<std::optional<std::vector<policy::AccountId>>()>;
+
+    FeedPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink, LimitedAccounts limitedAccounts);
 
     void watch(control::WatchRequest request, transport::FrameResponder respond);
     // Publishes a complete server list: as the leader all of it, without a leader the servers that leave. Returns false if it may be older than a list that another leader has published.
     bool setServers(routing::ServerList servers, TimePoint fetchStartedAt);
     // Answers all pending watch requests after a document has been committed. May be called from any thread.
     void documentChanged();
+    // Answers all pending watch requests after an account reached its limit.
+    void limitReached() { replyToAll(); }
     // Re-evaluates all pending watch requests after a change of leader. May be called from any thread.
     void leaderChanged(const control::LeaderChanged& change);
     // Answers the watch requests whose maximum wait has passed, and those that lack crash records.
@@ -53,6 +60,7 @@
     transport::EventLoop& m_loop;
     ControlRuntime& m_runtime;
     transport::EventSink& m_sink;
+    const LimitedAccounts m_limitedAccounts;
     std::vector<PendingWatch> m_pendingWatches;
     struct WatchingInstance {
         control::EntryInstance instance;
--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -56,6 +56,8 @@
             return { 404, "no_route" };
         if (refusal.reason == routing::RefusalReason::UnknownKey)
             return { 401, "unknown_key" };
+        if (refusal.reason == routing::RefusalReason::QuotaUsedUp)
+            return { 429, "quota_used_up" };
         // Callers repeat a request after a server error or a 503, but not after this status.
         if (refusal.reason == routing::RefusalReason::RequestBlocked)
             return { 400, "request_blocked" };
@@ -336,6 +338,14 @@
         answer(effect.request, reply);
     }
 
+    void run(const routing::ReportQuotas& effect)
+    {
+        if (controlFeed)
+            controlFeed->reportQuotas(effect.report);
+        else
+            asio::post(context, [this] { dispatch(routing::QuotasReplied {}); });
+    }
+
     void run(const LogEvent& event) { sink.log(event); }
 
     void answer(routing::RequestKey key, const RawReply& reply)
@@ -370,6 +380,8 @@
         versionInForce = reply.documentVersion;
         versionConfirmedAt = transport::monotonicNow();
         confirmDocument();
+        if (reply.limitedAccounts)
+            dispatch(routing::LimitedAccountsReceived { std::move(*reply.limitedAccounts) });
         if (reply.entryInstances)
             applyEntryInstances(*reply.entryInstances);
         if (reply.serverChanges)
@@ -421,6 +433,13 @@
         add("limited_servers", "", counters.limitedServers);
         add("server_connections_relayed_total", "", counters.connectionsRelayed);
         add("relayed_for_others", "", relay ? relay->connections() : 0);
+        const policy::QuotaCounters& quotas = router.quotas().counters();
+        add("quota_credits_granted_total", "", quotas.granted);
+        for (const EnumName<policy::QuotaSource>& row : policy::kQuotaSourceNames)
+            add("quota_admissions_total", fmt::format("{{source=\"{}\"}}", row.name), quotas.used[static_cast<std::size_t>(row.value)]);
+        add("quota_given_back_total", "", quotas.givenBack);
+        add("quota_credits_expired_total", "", quotas.expired);
+        add("quota_reports_total", "", quotas.reports);
         add("servers_ended_total", "", counters.serversEnded);
         add("crash_records", "", router.crashes().size());
         add("requests_in_flight", "", router.requestsInFlight());
@@ -506,6 +525,9 @@
         handlers.serversLeaving = [this](std::vector<std::string> servers, Micros age) {
             asio::post(context, [this, servers = std::move(servers), age]() mutable { dispatch(routing::ServersLeaving { std::move(servers), age }); });
         };
+        handlers.quotasReplied = [this](std::optional<policy::QuotaReply> reply) {
+            asio::post(context, [this, reply = std::move(reply)]() mutable { dispatch(routing::QuotasReplied { std::move(reply) }); });
+        };
         handlers.disconnected = [this] {
             asio::post(context, [this] {
                 isolation.recordLeaderContact(false, transport::monotonicNow());
--- a/main/group_links.cpp
+++ b/main/group_links.cpp
@@ -1,5 +1,6 @@
 #include "main/group_links.h"
 
+#include "control/quota_messages.h"
 #include "control/serialization.h"
 #include "main/control_events.h"
 #include "transport/control_protocol.h"
@@ -139,6 +140,14 @@
             m_handlers.fetchDocument(*request, respond);
         return;
     }
+    if (frame.type == number(MessageType::ReportQuotas) && respond) {
+        std::optional<policy::QuotaReport> report = control::decodeQuotaReport(frame.body);
+        if (!report)
+            refuse(frame, "the report of quotas is malformed");
+        else if (m_handlers.reportQuotas)
+            m_handlers.reportQuotas(std::move(*report), respond);
+        return;
+    }
     if (frame.type == number(MessageType::JoinGroup)) {
         const std::optional<control::JoinRequest> join = control::decodeJoin(frame.body);
         if (!join || join->name != frame.from || !transport::parseEndpoint(join->name))
--- a/main/group_links.h
+++ b/main/group_links.h
@@ -3,6 +3,7 @@
 #include "control/feed.h"
 #include "control/messages.h"
 #include "main/group_connection.h"
+#include "policy/account_quota.h"
 #include "transport/event_sink.h"
 #include "transport/frame_link.h"
 
@@ -27,6 +28,7 @@
         std::function<void(const InstanceName& name, std::function<void(control::LeaveOutcome)> respond)> leave;
         std::function<void(control::WatchRequest request, transport::FrameResponder respond)> watch;
         std::function<void(const control::DocumentPartRequest& request, transport::FrameResponder respond)> fetchDocument;
+        std::function<void(policy::QuotaReport report, transport::FrameResponder respond)> reportQuotas;
     };
 
     // Starts to listen. Throws std::runtime_error if the address cannot be used.
--- /dev/null
+++ b/main/quota_publisher.cpp
@@ -0,0 +1,117 @@
+#include "main/quota_publisher.h"
+
+#include "control/control_reducer.h"
+#include "control/quota_messages.h"
+#include "main/feed_events.h"
+#include "platform/route_document_json.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace curranttrail {
+
+QuotaPublisher::QuotaPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink, std::function<void()> limitReached)
+    : m_loop(loop)
+    , m_runtime(runtime)
+    , m_sink(sink)
+    , m_limitReached(std::move(limitReached))
+{
+}
+
+void QuotaPublisher::report(policy::QuotaReport report, transport::FrameResponder respond)
+{
+    m_runtime.view([this, report = std::move(report), respond = std::move(respond)](const control::ControlReducer& reducer, TimePoint now) {
+        const control::ReplicaStatus status = reducer.status(now);
+        const std::uint64_t term = status.role == control::Role::Leader && status.leaseValid ? status.term : 0;
+        m_loop.post([this, report, respond, term] {
+            if (term == 0 || term != m_term || !m_ledger.hasQuotas()) {
+                respond({});
+                return;
+            }
+            respond(control::encodeQuotaReply(m_ledger.handle(report, transport::monotonicNow())));
+            if (std::exchange(m_limitRevision, m_ledger.limitRevision()) != m_ledger.limitRevision())
+                m_limitReached();
+        });
+    });
+}
+
+void QuotaPublisher::documentChanged()
+{
+    m_loop.post([this] { load(); });
+}
+
+void QuotaPublisher::leaderChanged(const control::LeaderChanged& change)
+{
+    m_loop.post([this, change] {
+        m_term = change.leads ? change.term : 0;
+        m_ledger.beginTerm(transport::monotonicNow());
+        load();
+    });
+}
+
+// Only the leader needs the quotas.
+void QuotaPublisher::load()
+{
+    if (m_term == 0)
+        return;
+    m_runtime.view([this, held = m_documentVersion](const control::ControlReducer& reducer, TimePoint) {
+        const control::CommittedDocument& document = reducer.state().document;
+        if (document.version > held)
+            m_loop.post([this, document] { apply(document); });
+    });
+}
+
+void QuotaPublisher::apply(const control::CommittedDocument& document)
+{
+    if (document.version <= m_documentVersion)
+        return;
+    m_documentVersion = document.version;
+    const std::vector<routing::ClientAccount> accounts = platform::decodeAccounts(document.content);
+    m_names.clear();
+    for (const routing::ClientAccount& account : accounts)
+        m_names[policy::accountIdOf(account.name)] = account.name;
+    m_ledger.configure(routing::quotasOf(accounts), transport::monotonicNow());
+}
+
+std::optional<std::vector<policy::AccountId>> QuotaPublisher::limited() const
+{
+    if (m_term == 0 || !m_ledger.hasQuotas())
+        return std::nullopt;
+    return std::vector<policy::AccountId>(m_ledger.limited().begin(), m_ledger.limited().end());
+}
+
+void QuotaPublisher::logLimits()
+{
+    const std::set<policy::AccountId>& limited = m_ledger.limited();
+    if (limited == m_loggedLimits)
+        return;
+    const auto nameOfAccount = [this](policy::AccountId id) { return m_names.contains(id) ? m_names.at(id) : std::string {}; };
+    for (const policy::AccountId id : limited) {
+        if (!m_loggedLimits.contains(id))
+            m_sink.log(events::kAccountLimited, { { "account", nameOfAccount(id) }, { "limited", fmt::to_string(limited.size()) } });
+    }
+    for (const policy::AccountId id : m_loggedLimits) {
+        if (!limited.contains(id))
+            m_sink.log(events::kAccountReopened, { { "account", nameOfAccount(id) }, { "limited", fmt::to_string(limited.size()) } });
+    }
+    m_loggedLimits = limited;
+}
+
+void QuotaPublisher::tick(transport::Metrics& metrics)
+{
+    if (!m_ledger.hasQuotas())
+        return;
+    m_ledger.update(transport::monotonicNow());
+    logLimits();
+    const policy::QuotaLedgerCounters& counters = m_ledger.counters();
+    const auto set = [&metrics](const char* name, const char* help, std::uint64_t value) { metrics.gauge(name, help).set(static_cast<double>(value)); };
+    set("curranttrail_accounts_limited", "Client accounts that are at their limits.", m_ledger.limited().size());
+    set("curranttrail_quota_reports", "Reports of quotas that this instance answered as the leader.", counters.reports);
+    set("curranttrail_quota_credits_granted", "Credits granted to entry instances.", counters.granted);
+    set("curranttrail_quota_credits_denied", "Credits that entry instances wanted and did not get.", counters.denied);
+    set("curranttrail_quota_credits_returned", "Credits that expired unused and were taken back.", counters.returned);
+    set("curranttrail_quota_overdrafts", "Requests that entry instances admitted without a credit.", counters.overdrawn);
+}
+
+} // namespace curranttrail
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -6,6 +6,7 @@
 #include "core/key_digest.h"
 #include "core/request_fingerprint.h"
 #include "core/units.h"
+#include "policy/account_quota.h"
 #include "policy/crash_table.h"
 #include "policy/relay_table.h"
 #include "routing/route_document.h"
@@ -167,6 +168,16 @@
     std::vector<policy::CrashRecord> records;
 };
 
+// The control leader's answer to a report of quotas, or none if there will be no answer.
+struct QuotasReplied {
+    std::optional<policy::QuotaReply> reply;
+};
+
+// All client accounts that are at their limits, as the control leader says.
+struct LimitedAccountsReceived {
+    std::vector<policy::AccountId> accounts;
+};
+
 // The entry instances that share the servers, including this one.
 struct EntryInstancesChanged {
     std::vector<InstanceName> instances;
@@ -185,7 +196,7 @@
 struct Tick { };
 
 using Event = std::variant<RequestArrived, CallerDisconnected, ConnectionOpened, ConnectionLost, AttemptReplied, AttemptConnectionLost, RouteDocumentUpdated,
-    ServerListReceived, ServerListDeltaReceived, ServersLeaving, ControlContacted, CrashRecordsReceived, EntryInstancesChanged, RelaysChanged, StopScheduled, Tick>;
+    ServerListReceived, ServerListDeltaReceived, ServersLeaving, ControlContacted, CrashRecordsReceived, QuotasReplied, LimitedAccountsReceived, EntryInstancesChanged, RelaysChanged, StopScheduled, Tick>;
 
 // ---- Effects ----
 
@@ -226,6 +237,11 @@
     std::string body;
 };
 
+// Tells the control leader what became of the quotas of client accounts and asks for credits. QuotasReplied follows in any case.
+struct ReportQuotas {
+    policy::QuotaReport report;
+};
+
 // Reason for refusing a request.
 enum class RefusalReason {
     NotReady,
@@ -234,6 +250,8 @@
     DocumentUnconfirmed,
     // No client account has the caller's key, or the caller stated none.
     UnknownKey,
+    // The client account has used up its quota.
+    QuotaUsedUp,
     NoServer,
     // The limits that servers name leave this instance too few requests at present.
     ServerLimit,
@@ -248,11 +266,12 @@
     Stopping,
 };
 
-inline constexpr std::array<EnumName<RefusalReason>, 12> kRefusalReasonNames { {
+inline constexpr std::array<EnumName<RefusalReason>, 13> kRefusalReasonNames { {
     { RefusalReason::NotReady, "not_ready" },
     { RefusalReason::NoRoute, "no_route" },
     { RefusalReason::DocumentUnconfirmed, "document_unconfirmed" },
     { RefusalReason::UnknownKey, "unknown_key" },
+    { RefusalReason::QuotaUsedUp, "quota_used_up" },
     { RefusalReason::NoServer, "no_server" },
     { RefusalReason::ServerLimit, "server_limit" },
     { RefusalReason::Overloaded, "overloaded" },
@@ -274,6 +293,6 @@
     std::size_t unanswered = 0;
 };
 
-using Effect = std::variant<OpenConnection, CloseConnection, SendAttempt, AnswerReply, AnswerMerged, RefuseRequest, LogEvent>;
+using Effect = std::variant<OpenConnection, CloseConnection, SendAttempt, AnswerReply, AnswerMerged, RefuseRequest, ReportQuotas, LogEvent>;
 
 } // namespace curranttrail::routing
--- a/routing/route_document.cpp
+++ b/routing/route_document.cpp
@@ -95,6 +95,21 @@
     return document.accounts ? sharedKeyReason(*document.accounts) : std::string {};
 }
 
+policy::AccountQuotas quotasOf(const std::vector<ClientAccount>& accounts)
+{
+    policy::AccountQuotas quotas;
+    for (const ClientAccount& account : accounts) {
+        if (account.requestsPerSecond > 0)
+            quotas[policy::accountIdOf(account.name)] = { account.requestsPerSecond, std::max(0.0, account.burst) };
+    }
+    return quotas;
+}
+
+policy::AccountQuotas quotasOf(const RouteDocument& document)
+{
+    return document.accounts ? quotasOf(*document.accounts) : policy::AccountQuotas {};
+}
+
 RouteTable::RouteTable(std::shared_ptr<const RouteDocument> document)
     : m_document(std::move(document))
 {
--- a/routing/route_document.h
+++ b/routing/route_document.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/key_digest.h"
 #include "core/units.h"
+#include "policy/account_quota.h"
 
 #include <cstdint>
 #include <map>
@@ -104,6 +105,10 @@
 // Returns the reason why the document is invalid, or an empty string if it is valid.
 std::string invalidReason(const RouteDocument& document);
 
+// Returns the quotas of the accounts that have one.
+policy::AccountQuotas quotasOf(const std::vector<ClientAccount>& accounts);
+policy::AccountQuotas quotasOf(const RouteDocument& document);
+
 // Finds the route of a request by its host and the longest matching path prefix, and the client account by its key.
 class RouteTable {
 public:
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -43,6 +43,7 @@
     : m_options(std::move(options))
     , m_random(m_options.seed)
     , m_servers(m_options.dataCentre, m_options.name)
+    , m_quotas(m_options.seed)
     , m_relays(m_options.name, m_options.dataCentre)
 {
 }
@@ -66,7 +67,7 @@
         wakeup = std::min(wakeup, m_scheduledEvaluations.top().at);
     if (!m_endChecks.empty())
         wakeup = std::min(wakeup, nextEndCheck());
-    return wakeup;
+    return std::min(wakeup, m_quotas.nextReportAt());
 }
 
 Micros Router::retryAfterControl()
@@ -129,6 +130,9 @@
         refuseUnrouted(event, RefusalReason::Overloaded, randomRetryAfter());
         return;
     }
+    std::optional<policy::QuotaHold> quota;
+    if (!admitByQuota(event, caller.account, quota))
+        return;
     Request& request = m_requests[event.key];
     request.id = event.requestId;
     request.fingerprint = event.fingerprint;
@@ -136,6 +140,7 @@
     request.route = route;
     request.account = caller.account;
     request.priority = priorityOf(*route, caller.account);
+    request.quota = quota;
     request.profile = &latencyProfileOf(*route);
     request.arrivedAt = m_now;
     // The caller's time includes the network round trip, and another one if it opened the connection for this request.
@@ -191,6 +196,7 @@
         return;
     ++m_counters.abandoned;
     log(events::kRequestAbandoned, { { "request", it->second.id }, { "elapsed_us", fmt::to_string((m_now - it->second.arrivedAt).count()) } });
+    giveBackQuota(it->second);
     end(event.key, true);
 }
 
@@ -235,6 +241,7 @@
     m_table = std::make_shared<const RouteTable>(event.document);
     m_documentAppliedAt = m_now;
     m_splitCredit.clear();
+    m_quotas.configure(quotasOf(*event.document));
     log(events::kDocumentApplied, { { "version", fmt::to_string(event.document->version) }, { "routes", fmt::to_string(event.document->routes.size()) } });
     updateQuotasAndBudgets();
     warmConnections();
@@ -300,6 +307,7 @@
     if (!m_table)
         return;
     m_servers.updateConnectionQuotas(m_table->document().collections, m_now);
+    m_quotas.setInstances(m_servers.instanceCount(m_now));
     for (auto& [collection, budget] : m_budgets)
         budget.configure(m_options.additionalAttempts, m_servers.instanceCount(m_now), m_now);
 }
@@ -317,6 +325,7 @@
         finishEndChecks();
     if (m_now >= m_nextSweep)
         sweep();
+    reportQuotas();
 }
 
 Micros Router::processingTime() const
@@ -347,6 +356,7 @@
     }
     closeSharedIdleConnections();
     m_crashes.expire(m_now);
+    m_quotas.update(m_now);
     checkReach();
     const ServerTable::Changes changes = m_servers.evictRetired(m_now);
     logNewServers(changes, Micros { 0 });
--- a/routing/router.h
+++ b/routing/router.h
@@ -5,6 +5,7 @@
 #include "policy/additional_attempt_budget.h"
 #include "policy/crash_table.h"
 #include "policy/latency_quantiles.h"
+#include "policy/quota_credits.h"
 #include "policy/relay_table.h"
 #include "policy/server_reach.h"
 #include "policy/slot_schedule.h"
@@ -73,6 +74,7 @@
     bool hasAccounts() const { return m_table && m_table->hasAccounts(); }
     // Returns null if no account has the key.
     const ClientAccount* findAccount(const std::optional<KeyDigest>& key) const { return m_table && key ? m_table->findAccount(*key) : nullptr; }
+    const policy::QuotaCredits& quotas() const { return m_quotas; }
     std::size_t requestsInFlight() const { return m_requests.size(); }
     const RouterCounters& counters() const { return m_counters; }
     const ServerTable& servers() const { return m_servers; }
@@ -130,6 +132,8 @@
         const ClientAccount* account = nullptr;
         // Lower values are more urgent.
         std::uint32_t priority = 0;
+        // The admission on the account's quota, if it has one.
+        std::optional<policy::QuotaHold> quota;
         LatencyProfile* profile = nullptr;
         TimePoint arrivedAt;
         // From this time on, an answer with sufficient coverage does not wait for more parts.
@@ -273,6 +277,14 @@
     void refuseUnidentified(const RequestArrived& event, RefusalReason reason);
     static std::uint32_t priorityOf(const Route& route, const ClientAccount* account);
 
+    // router_quotas.cpp: quotas of client accounts
+    void on(const QuotasReplied& event);
+    void on(const LimitedAccountsReceived& event) { m_quotas.onLimited(event.accounts, m_now); }
+    bool admitByQuota(const RequestArrived& event, const ClientAccount* account, std::optional<policy::QuotaHold>& hold);
+    Micros retryAfterQuota(policy::AccountId id);
+    void giveBackQuota(const Request& request);
+    void reportQuotas();
+
     // router_connections.cpp: connections and whether servers can be reached
     void on(const ConnectionOpened& event);
     void on(const ConnectionLost& event);
@@ -378,7 +390,7 @@
     static AttemptProgress progressOf(const Attempt& attempt);
     std::string describeLiveAttempts(const Request& request) const;
     void refuse(RequestKey key, RefusalReason reason);
-    void refuseUnrouted(const RequestArrived& event, RefusalReason reason, std::optional<Micros> retryAfter);
+    void refuseUnrouted(const RequestArrived& event, RefusalReason reason, std::optional<Micros> retryAfter, std::string_view account = {});
     void end(RequestKey key, bool closeAtOnce);
     Verdict verdictOf(const Request& request) const;
     Micros randomRetryAfter();
@@ -413,6 +425,7 @@
     std::deque<ConnectionOnProbation> m_connectionsOnProbation;
     policy::CrashTable m_crashes;
     policy::TrialTurns m_trialTurns;
+    policy::QuotaCredits m_quotas;
     // Whether servers reply on connections without a relay or accept such connections, and whether they accept them.
     policy::ServerReach m_reach;
     policy::ServerReach m_openings;
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -228,6 +228,7 @@
         refusal.retryAfter = retryAfter(request, reason);
     else if (reason != RefusalReason::RequestBlocked && request.serversEnded >= policy::CrashTable::kBlockingEnds)
         refusal.retryAfter = randomDelay(kMinimumRetryAfterEnds, kMaximumRetryAfterEnds);
+    giveBackQuota(request);
     ++m_counters.refused[static_cast<std::size_t>(reason)];
     std::vector<EventField> fields { { "request", request.id }, { "fingerprint", request.fingerprint.text() }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "reason", std::string { nameOf(kRefusalReasonNames, reason) } }, { "not_run", refusal.notRun ? "true" : "false" }, { "parts", fmt::to_string(request.done) }, { "failed", fmt::to_string(request.failed) }, { "limited", fmt::to_string(request.limited) }, { "open", describeLiveAttempts(request) }, { "repeatable", request.route->repeatable ? "true" : "false" }, { "attempt_limit", fmt::to_string(request.route->maximumAttempts) }, { "repeats", fmt::to_string(request.additionalAttempts) }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } };
     if (isStopping())
@@ -238,10 +239,12 @@
     end(key, false);
 }
 
-void Router::refuseUnrouted(const RequestArrived& event, RefusalReason reason, std::optional<Micros> retryAfter)
+void Router::refuseUnrouted(const RequestArrived& event, RefusalReason reason, std::optional<Micros> retryAfter, std::string_view account)
 {
     ++m_counters.refused[static_cast<std::size_t>(reason)];
     std::vector<EventField> fields { { "request", event.requestId }, { "fingerprint", event.fingerprint.text() }, { "host", event.host }, { "path", event.path }, { "reason", std::string { nameOf(kRefusalReasonNames, reason) } }, { "not_run", "true" } };
+    if (!account.empty())
+        fields.push_back({ "account", std::string { account } });
     appendControlState(fields);
     log(events::kRequestRefused, std::move(fields));
     m_effects.emplace_back(RefuseRequest { event.key, reason, true, retryAfter });
--- a/tests/control/feed_test.cpp
+++ b/tests/control/feed_test.cpp
@@ -1,4 +1,5 @@
 #include "control/feed.h"
+#include "control/quota_messages.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -28,4 +29,36 @@
     BOOST_TEST(!decodeWatchReply(plain + "x"));
 }
 
+// Guards against the same for the accounts that are at their limits, and against a list that is lost because it is empty.
+BOOST_AUTO_TEST_CASE(LimitedAccountsFollowTheLeavingServers)
+{
+    WatchReply reply;
+    reply.documentVersion = 7;
+    reply.leavingServers = { "i-1" };
+    const std::string known = encodeWatchReply(reply);
+    BOOST_TEST(!decodeWatchReply(known).value().limitedAccounts);
+    for (const std::vector<policy::AccountId>& accounts : { std::vector<policy::AccountId> {}, { { 5 }, { 6 } } }) {
+        reply.limitedAccounts = accounts;
+        const std::string extended = encodeWatchReply(reply);
+        BOOST_TEST(extended.starts_with(known));
+        BOOST_TEST((decodeWatchReply(extended).value().limitedAccounts == accounts));
+        BOOST_TEST(!decodeWatchReply(extended.substr(0, extended.size() - 1)));
+    }
+    reply.leavingServers.clear();
+    BOOST_TEST(decodeWatchReply(encodeWatchReply(reply)).value().limitedAccounts->size() == 2U);
+}
+
+// Guards against reports and replies that are altered on their way, and against ones that are cut short.
+BOOST_AUTO_TEST_CASE(QuotaMessagesAreDecodedAsTheyWere)
+{
+    const std::string report = encodeQuotaReport({ 7, 8, { { { 1 }, 2, 3, 4, 5, 6 } } });
+    BOOST_TEST(encodeQuotaReport(decodeQuotaReport(report).value()) == report);
+    BOOST_TEST(decodeQuotaReport(report).value().accounts.at(0).covered == 6U);
+    BOOST_TEST(!decodeQuotaReport(report.substr(0, report.size() - 1)));
+    const std::string reply = encodeQuotaReply({ 8, { { { 1 }, 2 } }, { { 1 }, { 9 } } });
+    BOOST_TEST(encodeQuotaReply(decodeQuotaReply(reply).value()) == reply);
+    BOOST_TEST((decodeQuotaReply(reply).value().limited.at(1) == policy::AccountId { 9 }));
+    BOOST_TEST(!decodeQuotaReply({}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/routing/crash_world.h
+++ b/tests/routing/crash_world.h
@@ -128,6 +128,7 @@
     void run(std::size_t instance, const AnswerReply& effect);
     void run(std::size_t instance, const AnswerMerged& effect);
     void run(std::size_t instance, const RefuseRequest& effect);
+    void run(std::size_t, const ReportQuotas&) { }
     void served(RequestKey key);
     bool isCutFromServers(std::size_t instance) const;
     bool isRefusedByServers(std::size_t instance) const;
--- a/tests/routing/router_fleet.h
+++ b/tests/routing/router_fleet.h
@@ -240,6 +240,7 @@
         outcome.partial += effect.missing > 0 ? 1 : 0;
     }
 
+    void run(std::size_t, const ReportQuotas&) { }
     void run(std::size_t, const RefuseRequest& effect)
     {
         const CallerRequest request = finish(effect.request);
--- a/transport/control_protocol.h
+++ b/transport/control_protocol.h
@@ -36,6 +36,9 @@
     LeaveGroup = 9,
     // control::DocumentPartRequest -> control::DocumentPart. Instances that do not know the type do not reply.
     FetchDocument = 10,
+    // policy::QuotaReport -> policy::QuotaReply, or nothing if the instance is not the leader. Instances that do not know the type do not
+    // reply.
+    ReportQuotas = 11,
 };
 
 struct ReplicaMessage {
