--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -10,6 +10,7 @@
 #include "platform/http_names.h"
 #include "platform/route_document_json.h"
 #include "policy/isolation_detector.h"
+#include "policy/suspension_detector.h"
 #include "routing/router.h"
 #include "transport/frame_format.h"
 #include "transport/metrics.h"
@@ -96,6 +97,7 @@
         , ready(context, given.ready, readyHandlers())
         , latency(metrics.latency("curranttrail_request_latency_seconds", "Time from the whole request to its answer."))
     {
+        suspendedSinceLastLook();
         if (settings.metrics.port != 0)
             metricsServer.emplace(context, settings.metrics, metricsHandlers());
         if (settings.relay.port != 0)
@@ -109,6 +111,7 @@
         options.dataCentre = settings.dataCentre;
         options.seed = generateSeed();
         options.additionalAttempts = settings.additionalAttempts;
+        options.keyRevocationLimit = settings.keyRevocationLimit;
         return options;
     }
 
@@ -233,14 +236,34 @@
         dispatch(event);
     }
 
+    Micros suspendedSinceLastLook()
+    {
+        for (;;) {
+            const TimePoint before = transport::monotonicNow();
+            const TimePoint bootTime = transport::bootTimeNow();
+            if (const std::optional<Micros> duration = suspension.observe({ before, bootTime, transport::monotonicNow() }))
+                return *duration;
+        }
+    }
+
     void dispatch(const routing::Event& event)
     {
-        for (routing::Effect& effect : router.handle(event, transport::monotonicNow()))
-            std::visit([this](auto& content) { run(content); }, effect);
+        // Only decisions on accounts depend on the time of a suspension.
+        if (router.hasAccounts()) {
+            if (const Micros duration = suspendedSinceLastLook(); duration.count() > 0)
+                handle(routing::ProcessSuspended { duration });
+        }
+        handle(event);
         shareCrashes();
         schedule();
     }
 
+    void handle(const routing::Event& event)
+    {
+        for (routing::Effect& effect : router.handle(event, transport::monotonicNow()))
+            std::visit([this](auto& content) { run(content); }, effect);
+    }
+
     void shareCrashes()
     {
         const policy::CrashTable& crashes = router.crashes();
@@ -370,7 +393,7 @@
         dispatch(changed);
     }
 
-    void handleWatchReply(control::WatchReply reply, std::vector<policy::CrashRecord> crashes)
+    void handleWatchReply(control::WatchReply reply, std::vector<policy::CrashRecord> crashes, TimePoint requestSentAt)
     {
         if (!crashes.empty())
             dispatch(routing::CrashRecordsReceived { std::move(crashes) });
@@ -379,6 +402,7 @@
         isolation.recordLeaderContact(true, transport::monotonicNow());
         versionInForce = reply.documentVersion;
         versionConfirmedAt = transport::monotonicNow();
+        versionAskedAt = requestSentAt;
         confirmDocument();
         if (reply.limitedAccounts)
             dispatch(routing::LimitedAccountsReceived { std::move(*reply.limitedAccounts) });
@@ -397,7 +421,7 @@
     void confirmDocument()
     {
         if (versionInForce <= router.documentVersion())
-            dispatch(routing::ControlContacted { std::chrono::duration_cast<Micros>(transport::monotonicNow() - versionConfirmedAt) });
+            dispatch(routing::ControlContacted { std::chrono::duration_cast<Micros>(transport::monotonicNow() - versionConfirmedAt), suspension.unsuspended(versionAskedAt) });
     }
 
     void applyDocument(const std::string& content)
@@ -443,6 +467,7 @@
         add("servers_ended_total", "", counters.serversEnded);
         add("crash_records", "", router.crashes().size());
         add("requests_in_flight", "", router.requestsInFlight());
+        text += fmt::format("curranttrail_least_room {:.3f}\n", router.leastRoom());
         add("document_version", "", router.documentVersion());
         add("log_lines_dropped_total", "", sink.droppedLines());
         return text;
@@ -512,8 +537,8 @@
     void runLoop()
     {
         ControlFeed::Handlers handlers;
-        handlers.reply = [this](control::WatchReply reply, std::vector<policy::CrashRecord> crashes) {
-            asio::post(context, [this, reply = std::move(reply), crashes = std::move(crashes)]() mutable { handleWatchReply(std::move(reply), std::move(crashes)); });
+        handlers.reply = [this](control::WatchReply reply, std::vector<policy::CrashRecord> crashes, TimePoint requestSentAt) {
+            asio::post(context, [this, reply = std::move(reply), crashes = std::move(crashes), requestSentAt]() mutable { handleWatchReply(std::move(reply), std::move(crashes), requestSentAt); });
         };
         handlers.document = [this](std::string content) {
             asio::post(context, [this, content = std::move(content)] {
@@ -563,9 +588,11 @@
     policy::IsolationDetector isolation;
     // True once a server list has been received.
     bool hasServerList = false;
-    // The document version in the last reply of a leader, and the time of that reply.
+    // The document version in the last reply of a leader, the time of that reply, and the boot time at which it was asked for.
     std::uint64_t versionInForce = 0;
     TimePoint versionConfirmedAt;
+    TimePoint versionAskedAt;
+    policy::SuspensionDetector suspension;
     bool stopping = false;
     bool wasReady = false;
     TimePoint stopStartedAt;
@@ -602,6 +629,7 @@
                                    { "group.group_port", changed.groupConnection.groupPort == settings.groupConnection.groupPort },
                                    { "group.link_key", changed.groupConnection.linkKey == settings.groupConnection.linkKey },
                                    { "repeats", changed.additionalAttempts == settings.additionalAttempts },
+                                   { "accounts", changed.keyRevocationLimit == settings.keyRevocationLimit },
                                },
         m_implementation->sink);
     asio::post(m_implementation->context, [implementation = m_implementation.get(), seeds = changed.groupConnection.seeds]() mutable {
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -161,6 +161,13 @@
 struct ControlContacted {
     // Time since the reply.
     Micros age { 0 };
+    // Time at which the request was sent to which the leader replied, plus the durations of all ProcessSuspended events.
+    TimePoint requestSentAt {};
+};
+
+// The machine was suspended, without any progress of the time that the router is given.
+struct ProcessSuspended {
+    Micros duration { 0 };
 };
 
 // What other instances know of requests under which servers ended.
@@ -196,7 +203,7 @@
 struct Tick { };
 
 using Event = std::variant<RequestArrived, CallerDisconnected, ConnectionOpened, ConnectionLost, AttemptReplied, AttemptConnectionLost, RouteDocumentUpdated,
-    ServerListReceived, ServerListDeltaReceived, ServersLeaving, ControlContacted, CrashRecordsReceived, QuotasReplied, LimitedAccountsReceived, EntryInstancesChanged, RelaysChanged, StopScheduled, Tick>;
+    ServerListReceived, ServerListDeltaReceived, ServersLeaving, ControlContacted, CrashRecordsReceived, QuotasReplied, LimitedAccountsReceived, EntryInstancesChanged, RelaysChanged, ProcessSuspended, StopScheduled, Tick>;
 
 // ---- Effects ----
 
@@ -252,6 +259,10 @@
     UnknownKey,
     // The client account has used up its quota.
     QuotaUsedUp,
+    // The account's key may have been withdrawn, because control has not confirmed the document in time.
+    KeyUnconfirmed,
+    // The servers have too little room for all, and the account asks for more than its share.
+    AccountOverShare,
     NoServer,
     // The limits that servers name leave this instance too few requests at present.
     ServerLimit,
@@ -266,12 +277,14 @@
     Stopping,
 };
 
-inline constexpr std::array<EnumName<RefusalReason>, 13> kRefusalReasonNames { {
+inline constexpr std::array<EnumName<RefusalReason>, 15> kRefusalReasonNames { {
     { RefusalReason::NotReady, "not_ready" },
     { RefusalReason::NoRoute, "no_route" },
     { RefusalReason::DocumentUnconfirmed, "document_unconfirmed" },
     { RefusalReason::UnknownKey, "unknown_key" },
     { RefusalReason::QuotaUsedUp, "quota_used_up" },
+    { RefusalReason::KeyUnconfirmed, "key_unconfirmed" },
+    { RefusalReason::AccountOverShare, "account_over_share" },
     { RefusalReason::NoServer, "no_server" },
     { RefusalReason::ServerLimit, "server_limit" },
     { RefusalReason::Overloaded, "overloaded" },
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -46,6 +46,8 @@
     , m_quotas(m_options.seed)
     , m_relays(m_options.name, m_options.dataCentre)
 {
+    if (m_options.keyRevocationLimit)
+        m_keyLease.emplace(*m_options.keyRevocationLimit);
 }
 
 std::vector<Effect> Router::handle(const Event& event, TimePoint now)
@@ -133,6 +135,12 @@
     std::optional<policy::QuotaHold> quota;
     if (!admitByQuota(event, caller.account, quota))
         return;
+    if (const std::optional<Micros> delay = delayOverShare(*route, caller.account)) {
+        if (quota)
+            m_quotas.giveBack(*quota, m_now);
+        refuseUnrouted(event, RefusalReason::AccountOverShare, delay);
+        return;
+    }
     Request& request = m_requests[event.key];
     request.id = event.requestId;
     request.fingerprint = event.fingerprint;
@@ -189,6 +197,16 @@
     return m_controlContactAt && m_now - *m_controlContactAt < kDocumentConfirmationLifetime;
 }
 
+void Router::on(const ControlContacted& event)
+{
+    m_controlContactAt = m_now - event.age;
+    if (!m_keyLease)
+        return;
+    m_keyLease->confirm(event.requestSentAt);
+    if (m_refusesKeys && areKeysConfirmed())
+        logKeyLease(events::kKeysConfirmed);
+}
+
 void Router::on(const CallerDisconnected& event)
 {
     const auto it = m_requests.find(event.key);
@@ -243,6 +261,7 @@
     m_splitCredit.clear();
     m_quotas.configure(quotasOf(*event.document));
     log(events::kDocumentApplied, { { "version", fmt::to_string(event.document->version) }, { "routes", fmt::to_string(event.document->routes.size()) } });
+    updateAdmissions();
     updateQuotasAndBudgets();
     warmConnections();
 }
--- a/routing/router.h
+++ b/routing/router.h
@@ -2,8 +2,10 @@
 
 #include "core/random.h"
 #include "core/verdict.h"
+#include "policy/account_admission.h"
 #include "policy/additional_attempt_budget.h"
 #include "policy/crash_table.h"
+#include "policy/key_lease.h"
 #include "policy/latency_quantiles.h"
 #include "policy/quota_credits.h"
 #include "policy/relay_table.h"
@@ -33,6 +35,9 @@
     std::uint64_t seed = 0;
     // Limits on the additional attempts that all instances together may send to one collection.
     policy::AdditionalAttemptLimits additionalAttempts;
+    // Time after which a withdrawn key is admitted by no instance. Without a value, an instance that is cut off admits the keys that it
+    // knows.
+    std::optional<Micros> keyRevocationLimit {};
 };
 
 // Totals since the start, exported as metrics.
@@ -75,6 +80,8 @@
     // Returns null if no account has the key.
     const ClientAccount* findAccount(const std::optional<KeyDigest>& key) const { return m_table && key ? m_table->findAccount(*key) : nullptr; }
     const policy::QuotaCredits& quotas() const { return m_quotas; }
+    // Returns the part of the demand for which the servers have room, from 0 to 1, where they have least. 1 without client accounts.
+    double leastRoom() const;
     std::size_t requestsInFlight() const { return m_requests.size(); }
     const RouterCounters& counters() const { return m_counters; }
     const ServerTable& servers() const { return m_servers; }
@@ -251,7 +258,7 @@
     void on(const ServerListReceived& event);
     void on(const ServerListDeltaReceived& event);
     void on(const ServersLeaving& event);
-    void on(const ControlContacted& event) { m_controlContactAt = m_now - event.age; }
+    void on(const ControlContacted& event);
     void on(const CrashRecordsReceived& event);
     void applyServerChanges(const ServerTable::Changes& changes, Micros age);
     // Stops the use of a server for new work: what waits for it goes to other servers.
@@ -273,7 +280,11 @@
     const CollectionName& chooseSplitCollection(const Route& route, const SplitTarget& split);
 
     // router_accounts.cpp: client accounts
+    void on(const ProcessSuspended& event);
     Identification identify(const RequestArrived& event, const Route& route) const;
+    // Returns whether the keys in the document have not been withdrawn for longer than the revocation limit.
+    bool areKeysConfirmed() const { return !m_keyLease || m_keyLease->isValid(m_now + m_suspended); }
+    void logKeyLease(const EventDescription& description);
     void refuseUnidentified(const RequestArrived& event, RefusalReason reason);
     static std::uint32_t priorityOf(const Route& route, const ClientAccount* account);
 
@@ -285,6 +296,15 @@
     void giveBackQuota(const Request& request);
     void reportQuotas();
 
+    // router_admission.cpp: which accounts are served while there is too little room
+    void updateAdmissions();
+    // Returns the admission to the servers of a collection, or null if the document names no accounts.
+    policy::AccountAdmission* admissionTo(const CollectionName& collection);
+    // Returns the Retry-After if a request is refused because its account asks for more than its share.
+    std::optional<Micros> delayOverShare(const Route& route, const ClientAccount* account);
+    void recordLoad(const Server& server);
+    void recordAdmittedEnd(const Request& request);
+
     // router_connections.cpp: connections and whether servers can be reached
     void on(const ConnectionOpened& event);
     void on(const ConnectionLost& event);
@@ -411,6 +431,14 @@
     std::optional<TimePoint> m_documentAppliedAt;
     // Time of the latest reply of a control leader.
     std::optional<TimePoint> m_controlContactAt;
+    std::optional<policy::KeyLease> m_keyLease;
+    // Admission to the servers of the collections that are used together, by the first of them, and the first one of each collection.
+    std::map<CollectionName, policy::AccountAdmission> m_admissions;
+    std::map<CollectionName, CollectionName> m_admissionGroups;
+    // True while requests are refused because their keys are not confirmed.
+    bool m_refusesKeys = false;
+    // Total time in which the machine was suspended.
+    Micros m_suspended { 0 };
     ServerTable m_servers;
     std::uint64_t m_serverListRevision = 0;
     std::unordered_map<RequestKey, Request> m_requests;
--- a/tests/routing/quota_test.cpp
+++ b/tests/routing/quota_test.cpp
@@ -90,6 +90,19 @@
     BOOST_TEST(harness.takeSent().empty());
 }
 
+// Guards against credits that live on while the machine is suspended and the time of the router stands still.
+BOOST_AUTO_TEST_CASE(ASuspensionEndsCredits)
+{
+    QuotaHarness harness;
+    harness.handle(LimitedAccountsReceived { { harness.counter } });
+    harness.ask("c");
+    harness.answerReport(1, { harness.counter });
+    harness.handle(ProcessSuspended { milliseconds { 5'000 } });
+    harness.takeSent();
+    harness.ask("c");
+    BOOST_TEST(harness.takeSent().empty());
+}
+
 // Guards against messages of deployments that have no quotas.
 BOOST_AUTO_TEST_CASE(NothingIsReportedWithoutQuotas)
 {
