--- a/tests/main/gateway_accounts_test.cpp
+++ b/tests/main/gateway_accounts_test.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr const char* kAccounts = R"(,"tenants":[{"name":"counter","apiKeys":["secret-1"]}]})";
+constexpr const char* kAccounts = R"(,"tenants":[{"name":"counter","apiKeys":["secret-1"]},{"name":"portal","apiKeys":["secret-3"],"ratePerS":2,"burst":3}]})";
 
 struct AccountsFixture : GatewayFixture {
     AccountsFixture()
@@ -61,6 +61,19 @@
     BOOST_TEST(system.sink.recentAsJson(0, 4'096).find("secret-") == std::string::npos);
 }
 
+// Guards against a quota that is not kept, not granted or named to nobody, by the daemons together, and against a limit for other accounts.
+BOOST_AUTO_TEST_CASE(AnAccountBeyondItsQuotaIsRefusedUntilTheLeaderGrantsMore)
+{
+    AccountsFixture system;
+    std::size_t sent = 0;
+    const auto status = [&] { return statusOf(system.askWith("secret-3", "/order/x", fmt::format("p-{}", sent++))); };
+    const auto isLimited = [&] { return system.sink.recentAsJson(0, 4'096).find("account_limited") != std::string::npos; };
+    BOOST_TEST(GatewayFixture::eventually([&] { return status() == "429" && isLimited(); }));
+    BOOST_TEST(status() == "429");
+    BOOST_TEST(statusOf(system.askWith("secret-1", "/order/x", "other")) == "200");
+    BOOST_TEST(GatewayFixture::eventually([&] { return status() == "200"; }));
+}
+
 // The control group ends. Guards against keys that are admitted although nobody could withdraw them any more.
 BOOST_AUTO_TEST_CASE(KeysAreRefusedWithoutControl)
 {
