--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -134,10 +134,15 @@
 std::string encodeWatchReply(const WatchReply& message)
 {
     std::string bytes = detail::encodeValue(message);
-    const std::vector<std::string>& extension = message.leads ? message.evacuatedDataCentres : message.leavingServers;
-    if (!extension.empty())
-        bytes += detail::encodeValue(extension);
-    return bytes;
+    const std::vector<std::string>& names = message.leads ? message.evacuatedDataCentres : message.leavingServers;
+    if (!names.empty() || message.limitedAccounts)
+        bytes += detail::encodeValue(names);
+    if (!message.limitedAccounts)
+        return bytes;
+    std::vector<std::uint64_t> accounts;
+    for (const policy::AccountId account : *message.limitedAccounts)
+        accounts.push_back(account.value);
+    return bytes + detail::encodeValue(accounts);
 }
 
 std::optional<WatchReply> decodeWatchReply(std::string_view bytes)
@@ -146,10 +151,18 @@
     std::optional<WatchReply> reply = detail::decodeValue<WatchReply>(bytes, kMaximumReplyBytes, &extension);
     if (!reply || extension.empty())
         return reply;
-    std::optional<std::vector<std::string>> names = detail::decodeValue<std::vector<std::string>>(extension, kMaximumReplyBytes);
+    std::optional<std::vector<std::string>> names = detail::decodeValue<std::vector<std::string>>(extension, kMaximumReplyBytes, &extension);
     if (!names)
         return std::nullopt;
     (reply->leads ? reply->evacuatedDataCentres : reply->leavingServers) = std::move(*names);
+    if (extension.empty())
+        return reply;
+    const std::optional<std::vector<std::uint64_t>> accounts = detail::decodeValue<std::vector<std::uint64_t>>(extension, kMaximumReplyBytes);
+    if (!accounts)
+        return std::nullopt;
+    reply->limitedAccounts.emplace();
+    for (const std::uint64_t value : *accounts)
+        reply->limitedAccounts->push_back({ value });
     return reply;
 }
 
--- a/control/feed.h
+++ b/control/feed.h
@@ -4,6 +4,7 @@
 #include "core/ids.h"
 #include "core/request_fingerprint.h"
 #include "core/units.h"
+#include "policy/account_quota.h"
 #include "routing/server_record.h"
 
 #include <array>
@@ -84,6 +85,10 @@
 // in parts: kFetchesDocumentBit says both. An earlier build takes it for the version of another list and sends its own.
 inline constexpr std::uint64_t kReadsExtensionBit = 1ull << 63;
 
+// Set beside it if the sender knows WatchReply::limitedAccounts.
+inline constexpr std::uint64_t kKnowsQuotasBit = 1ull << 62;
+inline constexpr std::uint64_t kDocumentVersionMask = kKnowsQuotasBit - 1;
+
 // Sent by an entry instance, with the versions that it holds.
 struct WatchRequest {
     EntryInstance instance;
@@ -125,6 +130,8 @@
     // All data centres that are evacuated. Said by leaders only and encoded in the place of the leaving servers, which leaders do not name:
     // earlier builds decode such a reply and use no leaving servers of a leader.
     std::vector<DataCentreName> evacuatedDataCentres;
+    // Client accounts that are at their limits. Present only if the document has quotas and the requester set kKnowsQuotasBit.
+    std::optional<std::vector<policy::AccountId>> limitedAccounts;
     // Reports that changed since the requester's version. The version is that of the last one included.
     ListVersion crashVersion;
     std::vector<CrashReport> crashes;
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -6,6 +6,7 @@
 #include "core/key_digest.h"
 #include "core/request_fingerprint.h"
 #include "core/units.h"
+#include "policy/account_quota.h"
 #include "policy/crash_table.h"
 #include "policy/relay_table.h"
 #include "routing/route_document.h"
@@ -182,6 +183,16 @@
     std::vector<policy::CrashRecord> records;
 };
 
+// The control leader's answer to a report of quotas, or none if there will be no answer.
+struct QuotasReplied {
+    std::optional<policy::QuotaReply> reply;
+};
+
+// All client accounts that are at their limits, as the control leader says.
+struct LimitedAccountsReceived {
+    std::vector<policy::AccountId> accounts;
+};
+
 // The entry instances that share the servers, including this one.
 struct EntryInstancesChanged {
     std::vector<InstanceName> instances;
@@ -202,7 +213,7 @@
 struct Tick { };
 
 using Event = std::variant<RequestArrived, CallerDisconnected, ConnectionOpened, ConnectionLost, AttemptReplied, AttemptConnectionLost, RouteDocumentUpdated,
-    ServerListReceived, ServerListDeltaReceived, ServersLeaving, EvacuationsChanged, ControlContacted, CrashRecordsReceived, EntryInstancesChanged, RelaysChanged, ProcessSuspended, StopScheduled, Tick>;
+    ServerListReceived, ServerListDeltaReceived, ServersLeaving, EvacuationsChanged, ControlContacted, CrashRecordsReceived, QuotasReplied, LimitedAccountsReceived, EntryInstancesChanged, RelaysChanged, ProcessSuspended, StopScheduled, Tick>;
 
 // ---- Effects ----
 
@@ -258,6 +269,11 @@
     { AttemptReason::Retry, "retry" },
 } };
 
+// Tells the control leader what became of the quotas of client accounts and asks for credits. QuotasReplied follows in any case.
+struct ReportQuotas {
+    policy::QuotaReport report;
+};
+
 // Reason for refusing a request.
 enum class RefusalReason {
     NotReady,
@@ -266,6 +282,8 @@
     DocumentUnconfirmed,
     // No client account has the caller's key, or the caller stated none.
     UnknownKey,
+    // The client account has used up its quota.
+    QuotaUsedUp,
     // The account's key may have been withdrawn, because control has not confirmed the document in time.
     KeyUnconfirmed,
     // The servers have too little room for all, and the account asks for more than its share.
@@ -284,11 +302,12 @@
     Stopping,
 };
 
-inline constexpr std::array<EnumName<RefusalReason>, 14> kRefusalReasonNames { {
+inline constexpr std::array<EnumName<RefusalReason>, 15> kRefusalReasonNames { {
     { RefusalReason::NotReady, "not_ready" },
     { RefusalReason::NoRoute, "no_route" },
     { RefusalReason::DocumentUnconfirmed, "document_unconfirmed" },
     { RefusalReason::UnknownKey, "unknown_key" },
+    { RefusalReason::QuotaUsedUp, "quota_used_up" },
     { RefusalReason::KeyUnconfirmed, "key_unconfirmed" },
     { RefusalReason::AccountOverShare, "account_over_share" },
     { RefusalReason::NoServer, "no_server" },
@@ -312,6 +331,6 @@
     std::size_t unanswered = 0;
 };
 
-using Effect = std::variant<OpenConnection, CloseConnection, SendAttempt, AnswerReply, AnswerMerged, RefuseRequest, LogEvent>;
+using Effect = std::variant<OpenConnection, CloseConnection, SendAttempt, AnswerReply, AnswerMerged, RefuseRequest, ReportQuotas, LogEvent>;
 
 } // namespace curranttrail::routing
--- a/routing/router.cpp
+++ b/routing/router.cpp
@@ -43,6 +43,7 @@
     : m_options(std::move(options))
     , m_random(m_options.seed)
     , m_servers(m_options.dataCentre, m_options.name)
+    , m_quotas(m_options.seed)
     , m_relays(m_options.name, m_options.dataCentre)
 {
     if (m_options.keyRevocationLimit)
@@ -68,7 +69,7 @@
         wakeup = std::min(wakeup, m_scheduledEvaluations.top().at);
     if (!m_endChecks.empty())
         wakeup = std::min(wakeup, nextEndCheck());
-    return wakeup;
+    return std::min(wakeup, m_quotas.nextReportAt());
 }
 
 Micros Router::retryAfterControl()
@@ -127,14 +128,19 @@
         refuseUnrouted(event, RefusalReason::AwaitingTrial, delay);
         return;
     }
-    if (const std::optional<Micros> delay = delayOverShare(*route, caller.account)) {
-        refuseUnrouted(event, RefusalReason::AccountOverShare, delay);
-        return;
-    }
     if (m_requests.size() >= kMaximumRequests) {
         refuseUnrouted(event, RefusalReason::Overloaded, randomRetryAfter());
         return;
     }
+    std::optional<policy::QuotaHold> quota;
+    if (!admitByQuota(event, caller.account, quota))
+        return;
+    if (const std::optional<Micros> delay = delayOverShare(*route, caller.account)) {
+        if (quota)
+            m_quotas.giveBack(*quota, m_now);
+        refuseUnrouted(event, RefusalReason::AccountOverShare, delay);
+        return;
+    }
     Request& request = m_requests[event.key];
     request.id = event.requestId;
     request.fingerprint = event.fingerprint;
@@ -142,6 +148,7 @@
     request.route = route;
     request.account = caller.account;
     request.priority = priorityOf(*route, caller.account);
+    request.quota = quota;
     request.profile = &latencyProfileOf(*route);
     request.arrivedAt = m_now;
     // The caller's time includes the network round trip, and another one if it opened the connection for this request.
@@ -207,6 +214,7 @@
         return;
     ++m_counters.abandoned;
     log(events::kRequestAbandoned, { { "request", it->second.id }, { "elapsed_us", fmt::to_string((m_now - it->second.arrivedAt).count()) } });
+    giveBackQuota(it->second);
     end(event.key, true);
 }
 
@@ -251,6 +259,7 @@
     m_table = std::make_shared<const RouteTable>(event.document);
     m_documentAppliedAt = m_now;
     m_splitCredit.clear();
+    m_quotas.configure(quotasOf(*event.document));
     log(events::kDocumentApplied, { { "version", fmt::to_string(event.document->version) }, { "routes", fmt::to_string(event.document->routes.size()) } });
     updateAdmissions();
     updateQuotasAndBudgets();
@@ -322,6 +331,7 @@
     if (!m_table)
         return;
     m_servers.updateConnectionQuotas(m_table->document().collections, m_now);
+    m_quotas.setInstances(m_servers.instanceCount(m_now));
     for (auto& [collection, budget] : m_budgets)
         budget.configure(m_options.additionalAttempts, m_servers.instanceCount(m_now), m_now);
 }
@@ -339,6 +349,7 @@
         finishEndChecks();
     if (m_now >= m_nextSweep)
         sweep();
+    reportQuotas();
 }
 
 Micros Router::processingTime() const
@@ -370,6 +381,7 @@
     closeSharedIdleConnections();
     closeConnectionsBeyondPlan();
     m_crashes.expire(m_now);
+    m_quotas.update(m_now);
     checkReach();
     if (!m_servers.evacuations().isEmpty())
         endEvacuations();
--- a/routing/router_accounts.cpp
+++ b/routing/router_accounts.cpp
@@ -46,6 +46,7 @@
     m_suspended += event.duration;
     if (m_controlContactAt)
         *m_controlContactAt -= event.duration;
+    m_quotas.onSuspended(m_now);
     log(events::kProcessSuspended, { { "duration_us", fmt::to_string(event.duration.count()) } });
 }
 
