--- a/main/quota_publisher.cpp
+++ b/main/quota_publisher.cpp
@@ -68,9 +68,9 @@
         return;
     m_documentVersion = document.version;
     const std::vector<routing::ClientAccount> accounts = platform::decodeAccounts(document.content);
-    m_names.clear();
+    m_accounts.clear();
     for (const routing::ClientAccount& account : accounts)
-        m_names[policy::accountIdOf(account.name)] = account.name;
+        m_accounts[policy::accountIdOf(account.name)] = account;
     m_ledger.configure(routing::quotasOf(accounts), transport::monotonicNow());
 }
 
@@ -81,19 +81,27 @@
     return std::vector<policy::AccountId>(m_ledger.limited().begin(), m_ledger.limited().end());
 }
 
+void QuotaPublisher::log(const EventDescription& description, policy::AccountId id)
+{
+    // A newer document may have dropped the account.
+    const auto it = m_accounts.find(id);
+    if (it == m_accounts.end())
+        return;
+    m_sink.log(description, { { "account", it->second.name }, { "per_second", fmt::format("{}", it->second.requestsPerSecond) }, { "burst", fmt::format("{}", it->second.burst) }, { "limited", fmt::to_string(m_ledger.limited().size()) } });
+}
+
 void QuotaPublisher::logLimits()
 {
     const std::set<policy::AccountId>& limited = m_ledger.limited();
     if (limited == m_loggedLimits)
         return;
-    const auto nameOfAccount = [this](policy::AccountId id) { return m_names.contains(id) ? m_names.at(id) : std::string {}; };
     for (const policy::AccountId id : limited) {
         if (!m_loggedLimits.contains(id))
-            m_sink.log(events::kAccountLimited, { { "account", nameOfAccount(id) }, { "limited", fmt::to_string(limited.size()) } });
+            log(events::kAccountLimited, id);
     }
     for (const policy::AccountId id : m_loggedLimits) {
         if (!limited.contains(id))
-            m_sink.log(events::kAccountReopened, { { "account", nameOfAccount(id) }, { "limited", fmt::to_string(limited.size()) } });
+            log(events::kAccountReopened, id);
     }
     m_loggedLimits = limited;
 }
--- a/main/quota_publisher.h
+++ b/main/quota_publisher.h
@@ -3,6 +3,7 @@
 #include "control/messages.h"
 #include "main/control_runtime.h"
 #include "policy/quota_ledger.h"
+#include "routing/route_document.h"
 #include "transport/event_sink.h"
 #include "transport/frame_link.h"
 #include "transport/metrics.h"
@@ -12,7 +13,6 @@
 #include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
 namespace curranttrail {
@@ -38,6 +38,7 @@
     void load();
     void apply(const control::CommittedDocument& document);
     void logLimits();
+    void log(const EventDescription& description, policy::AccountId id);
 
     transport::EventLoop& m_loop;
     ControlRuntime& m_runtime;
@@ -47,7 +48,7 @@
     // The term in which this instance leads; 0 if it does not.
     std::uint64_t m_term = 0;
     std::uint64_t m_documentVersion = 0;
-    std::map<policy::AccountId, std::string> m_names;
+    std::map<policy::AccountId, routing::ClientAccount> m_accounts;
     std::uint64_t m_limitRevision = 0;
     // The accounts last logged as limited.
     std::set<policy::AccountId> m_loggedLimits;
--- a/tests/policy/quota_test.cpp
+++ b/tests/policy/quota_test.cpp
@@ -161,6 +161,31 @@
     }
 }
 
+// Guards against a credit that is used once the leader may have granted it anew: the time counts from the report, also for a late reply.
+BOOST_AUTO_TEST_CASE(ACreditExpiresOneSecondAfterTheReport)
+{
+    const TimePoint start { Micros { 1'000'000 } };
+    const AccountId account = accountIdOf("nile");
+    for (const bool isSuspended : { false, true }) {
+        QuotaCredits credits(1);
+        credits.configure({ { account, { 1, 10 } } });
+        credits.onLimited({ account }, start);
+        BOOST_TEST(!credits.tryAcquire(account, start));
+        const std::uint64_t number = credits.nextReport(start).value().number;
+        credits.onReply({ number, { { account, 3 } }, { account } }, start + Micros { 900'000 });
+        BOOST_TEST(credits.tryAcquire(account, start + Micros { 999'999 }).has_value());
+        TimePoint end = start + Micros { 1'000'000 };
+        if (isSuspended)
+            credits.onSuspended(end = start + Micros { 999'999 });
+        BOOST_TEST(!credits.tryAcquire(account, end));
+        const QuotaReport report = credits.nextReport(end).value();
+        BOOST_TEST(report.accounts.at(0).used == 1U);
+        BOOST_TEST(report.accounts.at(0).expired == 2U);
+        credits.onReply({ report.number, { { account, 3 } }, { account } }, end + Micros { 1'000'000 });
+        BOOST_TEST(!credits.tryAcquire(account, end + Micros { 1'000'000 }));
+    }
+}
+
 // Guards against a report that counts twice because it was sent again, arrived late or reached two leaders.
 BOOST_AUTO_TEST_CASE(AResentReportCountsOnce)
 {
--- a/tests/policy/quota_world.h
+++ b/tests/policy/quota_world.h
@@ -80,8 +80,8 @@
     void run(double seconds)
     {
         const TimePoint until = now + Micros { static_cast<Micros::rep>(seconds * 1e6) };
-        while (!events.empty() && events.begin()->first <= until) {
-            const auto next = events.extract(events.begin());
+        while (!m_events.empty() && m_events.begin()->first <= until) {
+            const auto next = m_events.extract(m_events.begin());
             now = next.key();
             next.mapped()();
         }
@@ -170,7 +170,7 @@
 
     TimePoint clock(std::size_t n) const { return now - instances[n].lost; }
     Micros delay() { return Micros { boost::random::uniform_int_distribution<Micros::rep>(5'000, 35'000)(random) }; }
-    void after(Micros duration, std::function<void()> action) { events.emplace(now + duration, std::move(action)); }
+    void after(Micros duration, std::function<void()> action) { m_events.emplace(now + duration, std::move(action)); }
 
     // Runs the action on the instance now, or once the instance is no longer paused.
     void onInstance(std::size_t n, std::function<void()> action)
@@ -283,7 +283,7 @@
         after(Micros { 50'000 }, [this] { tick(); });
     }
 
-    std::multimap<TimePoint, std::function<void()>> events;
+    std::multimap<TimePoint, std::function<void()>> m_events;
 };
 
 } // namespace curranttrail::policy
