--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -60,7 +60,7 @@
               [this](const InstanceName& to, const control::PeerMessage& message) { links.sendToPeer(to, message); })
         , memberChangePlanner(std::max<std::size_t>(kMinimumVoters, static_cast<std::size_t>(2 * settings.toleratedDiskLosses + 1)))
         , publisher(links.loop(), runtime, sink, [this] { return quotaPublisher.limited(); })
-        , quotaPublisher(links.loop(), runtime, sink, [this] { publisher.limitReached(); })
+        , quotaPublisher(links.loop(), runtime, sink, [this] { publisher.limitsChanged(); })
         , documentPublisher(links.loop(), runtime)
         , poller(threads, settings.serverList, settings.listCallsPerSecond, sink, [this](routing::ServerList servers, TimePoint fetchStartedAt) { publish(std::move(servers), fetchStartedAt); })
         , api(runtime, sink, settings.http.port)
--- a/main/feed_publisher.h
+++ b/main/feed_publisher.h
@@ -34,7 +34,7 @@
     // Answers all pending watch requests after a document or an evacuation has been committed. May be called from any thread.
     void committedStateChanged();
     // Answers all pending watch requests after an account reached its limit.
-    void limitReached() { replyToAll(); }
+    void limitsChanged() { replyToAll(); }
     // Re-evaluates all pending watch requests after a change of leader. May be called from any thread.
     void leaderChanged(const control::LeaderChanged& change);
     // Answers the watch requests whose maximum wait has passed, and those that lack crash records.
--- a/main/quota_publisher.cpp
+++ b/main/quota_publisher.cpp
@@ -11,11 +11,16 @@
 
 namespace curranttrail {
 
-QuotaPublisher::QuotaPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink, std::function<void()> limitReached)
+namespace {
+    // An account counts as reopened in the log if it has not been at its limit for this time.
+    constexpr Micros kReopenedLogDelay { 1'000'000 };
+}
+
+QuotaPublisher::QuotaPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink, std::function<void()> limitsChanged)
     : m_loop(loop)
     , m_runtime(runtime)
     , m_sink(sink)
-    , m_limitReached(std::move(limitReached))
+    , m_limitsChanged(std::move(limitsChanged))
 {
 }
 
@@ -30,12 +35,17 @@
                 return;
             }
             respond(control::encodeQuotaReply(m_ledger.handle(report, transport::monotonicNow())));
-            if (std::exchange(m_limitRevision, m_ledger.limitRevision()) != m_ledger.limitRevision())
-                m_limitReached();
+            publishLimits();
         });
     });
 }
 
+void QuotaPublisher::publishLimits()
+{
+    if (std::exchange(m_limitRevision, m_ledger.limitRevision()) != m_ledger.limitRevision())
+        m_limitsChanged();
+}
+
 void QuotaPublisher::documentChanged()
 {
     m_loop.post([this] { load(); });
@@ -90,20 +100,20 @@
     m_sink.log(description, { { "account", it->second.name }, { "per_second", fmt::format("{}", it->second.requestsPerSecond) }, { "burst", fmt::format("{}", it->second.burst) }, { "limited", fmt::to_string(m_ledger.limited().size()) } });
 }
 
+// An account that asks for more than its quota is at its limit again and again, and logged once.
 void QuotaPublisher::logLimits()
 {
-    const std::set<policy::AccountId>& limited = m_ledger.limited();
-    if (limited == m_loggedLimits)
-        return;
-    for (const policy::AccountId id : limited) {
-        if (!m_loggedLimits.contains(id))
+    const TimePoint now = transport::monotonicNow();
+    for (const policy::AccountId id : m_ledger.limited()) {
+        if (m_loggedLimits.insert_or_assign(id, now).second)
             log(events::kAccountLimited, id);
     }
-    for (const policy::AccountId id : m_loggedLimits) {
-        if (!limited.contains(id))
-            log(events::kAccountReopened, id);
-    }
-    m_loggedLimits = limited;
+    std::erase_if(m_loggedLimits, [&](const auto& logged) {
+        const bool isOver = now - logged.second >= kReopenedLogDelay;
+        if (isOver)
+            log(events::kAccountReopened, logged.first);
+        return isOver;
+    });
 }
 
 void QuotaPublisher::tick(transport::Metrics& metrics)
@@ -111,6 +121,7 @@
     if (!m_ledger.hasQuotas())
         return;
     m_ledger.update(transport::monotonicNow());
+    publishLimits();
     logLimits();
     const policy::QuotaLedgerCounters& counters = m_ledger.counters();
     const auto set = [&metrics](const char* name, const char* help, std::uint64_t value) { metrics.gauge(name, help).set(static_cast<double>(value)); };
--- a/main/quota_publisher.h
+++ b/main/quota_publisher.h
@@ -12,7 +12,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace curranttrail {
@@ -21,8 +20,8 @@
 // unless stated otherwise.
 class QuotaPublisher {
 public:
-    // The callback is called when an account has reached its limit.
-    QuotaPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink, std::function<void()> limitReached);
+    // The callback is called when an account has reached its limit or is no longer at it.
+    QuotaPublisher(transport::EventLoop& loop, ControlRuntime& runtime, transport::EventSink& sink, std::function<void()> limitsChanged);
 
     // Answers with an empty body if this instance does not lead.
     void report(policy::QuotaReport report, transport::FrameResponder respond);
@@ -35,6 +34,7 @@
     std::optional<std::vector<policy::AccountId>> limited() const;
 
 private:
+    void publishLimits();
     void load();
     void apply(const control::CommittedDocument& document);
     void logLimits();
@@ -43,15 +43,15 @@
     transport::EventLoop& m_loop;
     ControlRuntime& m_runtime;
     transport::EventSink& m_sink;
-    const std::function<void()> m_limitReached;
+    const std::function<void()> m_limitsChanged;
     policy::QuotaLedger m_ledger;
     // The term in which this instance leads; 0 if it does not.
     std::uint64_t m_term = 0;
     std::uint64_t m_documentVersion = 0;
     std::map<policy::AccountId, routing::ClientAccount> m_accounts;
     std::uint64_t m_limitRevision = 0;
-    // The accounts last logged as limited.
-    std::set<policy::AccountId> m_loggedLimits;
+    // The accounts logged as limited, with the time at which each was last at its limit.
+    std::map<policy::AccountId, TimePoint> m_loggedLimits;
 };
 
 } // namespace curranttrail
--- a/policy/quota_ledger.cpp
+++ b/policy/quota_ledger.cpp
@@ -10,8 +10,9 @@
     // An account is limited once this many requests more were overdrawn than its bucket held. Without it an account that is well within
     // its quota would be limited after each change of leader, because buckets are empty then.
     constexpr double kToleratedOverdraft = 4;
-    // Parts of the burst and of a second's requests that a bucket holds before its account is no longer limited.
-    constexpr double kReopeningPart = 0.5;
+    // What a bucket gains before its account is no longer limited: the requests of this time, and at least one. A longer time would let
+    // requests through in bursts, and refuse the ones between them that are within the quota.
+    constexpr double kReopeningSeconds = 0.1;
     // One report gets at most this part of a bucket beyond one credit, so that others find some left.
     constexpr double kMaximumGrantPart = 0.25;
     // Credits of which nothing was heard for this time count as used and no longer restrict the bucket.
@@ -146,9 +147,8 @@
         m_limitRevision += m_limited.insert(id).second ? 1 : 0;
         return;
     }
-    const double reopening = std::min(std::max(1.0, account.quota.burst), account.quota.requestsPerSecond) * kReopeningPart;
-    if (account.level >= reopening)
-        m_limited.erase(id);
+    if (account.level >= std::max(1.0, account.quota.requestsPerSecond * kReopeningSeconds) - kToleratedOverdraft)
+        m_limitRevision += m_limited.erase(id);
 }
 
 void QuotaLedger::update(TimePoint now)
--- a/policy/quota_ledger.h
+++ b/policy/quota_ledger.h
@@ -41,7 +41,7 @@
 
     bool hasQuotas() const { return !m_accounts.empty(); }
     const std::set<AccountId>& limited() const { return m_limited; }
-    // Counts how often an account reached its limit.
+    // Counts how often an account reached its limit or was reopened.
     std::uint64_t limitRevision() const { return m_limitRevision; }
     const QuotaLedgerCounters& counters() const { return m_counters; }
 
