--- a/routing/server_table.cpp
+++ b/routing/server_table.cpp
@@ -226,7 +226,7 @@
     // Requests beyond the free slots wait until the slots have been served once.
     double micros = typical * factor * (1 + std::max(0.0, attemptsAhead + 1 - slots) / slots + 0.1 * attemptsAhead);
     if (!server.hasIdleConnection())
-        micros += server.canOpenConnection(now) || server.opening > server.waiting.size() ? kConnectCostMicros : connectionWaitMicros(server, typical);
+        micros += server.canOpenConnection(now) || server.opening > server.waiting.size() ? kConnectCostMicros : connectionWaitMicros(server, typical * (server.isPlanned ? factor : 1));
     // A connection that has been opening for long is likely to need as long again.
     if (server.opening > 0 && server.opening == server.connections)
         micros += std::max(0.0, static_cast<double>((now - server.openingSince).count()));
