--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -134,6 +134,15 @@
     BOOST_TEST(*transport::findField(forwarded, kExpectedInstanceField) == "i1");
 }
 
+// Guards against quotas that the leader does not know because the document writes a name with escapes.
+BOOST_AUTO_TEST_CASE(AccountsAreFoundWhereNamesAreEscaped)
+{
+    const std::string accounts = R"(":[{"name":"counter","apiKeys":["k-1"],"ratePerS":4}]})";
+    for (const char* name : { R"({"tenants)", R"({"\u0074enants)" })
+        BOOST_TEST(decodeAccounts(name + accounts).size() == 1u, name);
+    BOOST_TEST(decodeAccounts(R"({"routes":[]})").empty());
+}
+
 // Guards against a key that is passed on, an account that the caller chooses, and a key read from another scheme or from one of two fields.
 BOOST_AUTO_TEST_CASE(KeysAreReadAndNotForwarded)
 {
