Review: a coordinator that has met 64 members loses the group

Cause: GroupLinks keeps a client for each address that it ever sent to, 64 at most, and drops all messages to further ones. New members never become voters while the old ones leave.

The stand-ins give gateways addresses of their own and take spare machines.

--- a/review/7/scenario.cpp
+++ b/review/7/scenario.cpp
@@ -85,8 +85,8 @@
         setListening(false);
         m_world.record.add("gateway 0 is cut off from the servers");
         sleepFor(Millis { 1'500 });
-        const Process& other = *m_world.gateways[kOther];
-        const Process& cutOff = *m_world.gateways[kCutOff];
+        Process& other = *m_world.gateways[kOther];
+        Process& cutOff = *m_world.gateways[kCutOff];
         other.signal(SIGSTOP);
         sleepFor(Millis { 300 });
         cutOff.signal(SIGSTOP);
--- a/review/support-2/world.cpp
+++ b/review/support-2/world.cpp
@@ -32,7 +32,7 @@
 namespace {
     constexpr Millis kServerReadTimeout { 60'000 };
     constexpr Millis kScenarioTimeout { 110'000 };
-    constexpr std::size_t kMaximumCoordinators = 9;
+    constexpr std::size_t kMaximumCoordinators = 120;
     constexpr std::size_t kMaximumGateways = 4;
     constexpr std::size_t kMaximumServers = 12;
     constexpr std::uint16_t kPortsPerMachine = 6;
@@ -64,7 +64,7 @@
         for (std::size_t n = 0; n < kMaximumCoordinators; ++n)
             hosts.push_back("127.0.0." + std::to_string(11 + n));
         for (std::size_t n = 0; n < kMaximumGateways; ++n)
-            hosts.push_back("127.0.0." + std::to_string(31 + n));
+            hosts.push_back("127.0.2." + std::to_string(1 + n));
         for (std::size_t n = 0; n < kMaximumServers; ++n)
             hosts.push_back("127.0.1." + std::to_string(1 + n));
         for (int tries = 0; tries < 200; ++tries) {
@@ -453,6 +453,7 @@
 {
     const std::string variable = "CURRANTTRAIL_CONFIG=" + m_settingsFile;
     const std::string path = std::string { "PATH=" } + (std::getenv("PATH") ? std::getenv("PATH") : "/usr/bin:/bin");
+    m_isEndExpected = false;
     m_id = ::fork();
     if (m_id < 0)
         throw std::runtime_error("cannot fork");
@@ -469,8 +470,9 @@
     ::_exit(127);
 }
 
-void Process::signal(int number) const
+void Process::signal(int number)
 {
+    m_isEndExpected = m_isEndExpected || number == SIGTERM;
     if (m_id > 0)
         ::kill(m_id, number);
 }
@@ -489,6 +491,8 @@
     int status = 0;
     if (m_id > 0 && ::waitpid(m_id, &status, WNOHANG) == m_id) {
         m_id = -1;
+        if (m_isEndExpected && WIFEXITED(status) && WEXITSTATUS(status) == 0)
+            return false;
         m_unexpectedEnd = m_name + (WIFSIGNALED(status) ? " ended by signal " + std::to_string(WTERMSIG(status)) : " ended with status " + std::to_string(WEXITSTATUS(status)));
     }
     return m_id > 0;
@@ -518,9 +522,10 @@
 World::World(std::string folder, WorldOptions options)
     : record(std::getenv("RECORD") ? std::getenv("RECORD") : folder + "/record.txt")
     , m_folder(std::move(folder))
+    , m_options(options)
     , m_basePort(findBasePort())
 {
-    for (std::size_t n = 0; n < options.coordinators; ++n) {
+    for (std::size_t n = 0; n < options.coordinators + options.spareCoordinators; ++n) {
         const std::string path = m_folder + "/coordinator-" + std::to_string(n);
         coordinators.push_back(std::make_unique<Process>("coordinator " + std::to_string(n), "target/curranttrail-coordinator", path + ".toml", path + ".log"));
         std::filesystem::create_directories(dataFolder(n));
@@ -543,15 +548,15 @@
 void World::startPlatform() { m_platform = std::make_unique<PlatformStandIn>(Endpoint { "127.0.0.1", m_basePort }, servers); }
 
 Endpoint World::control(std::size_t n) const { return { "127.0.0." + std::to_string(11 + n), static_cast<std::uint16_t>(m_basePort + 1) }; }
-Endpoint World::callers(std::size_t n) const { return { "127.0.0." + std::to_string(31 + n), static_cast<std::uint16_t>(m_basePort + 1) }; }
-Endpoint World::ready(std::size_t n) const { return { "127.0.0." + std::to_string(31 + n), static_cast<std::uint16_t>(m_basePort + 2) }; }
+Endpoint World::callers(std::size_t n) const { return { "127.0.2." + std::to_string(1 + n), static_cast<std::uint16_t>(m_basePort + 1) }; }
+Endpoint World::ready(std::size_t n) const { return { "127.0.2." + std::to_string(1 + n), static_cast<std::uint16_t>(m_basePort + 2) }; }
 std::string World::dataFolder(std::size_t coordinator) const { return m_folder + "/data-" + std::to_string(coordinator); }
 
 std::string World::seeds() const
 {
     std::string text;
-    for (std::size_t n = 0; n < 3; ++n)
-        text += std::string { n > 0 ? "," : "" } + "\"" + control(n).text() + "\"";
+    for (const std::size_t seed : m_seeds)
+        text += std::string { text.empty() ? "" : "," } + "\"" + control(seed).text() + "\"";
     return text;
 }
 
@@ -578,7 +583,7 @@
 
 void World::startAll()
 {
-    for (std::size_t n = 0; n < coordinators.size(); ++n) {
+    for (std::size_t n = 0; n < m_options.coordinators; ++n) {
         writeCoordinator(n, true);
         coordinators[n]->start();
     }
@@ -613,10 +618,10 @@
     const Clock::time_point deadline = Clock::now() + limit;
     unsigned lastStatus = 1;
     for (std::size_t n = 0; Clock::now() < deadline; ++n) {
-        const Message response = order(n % coordinators.size(), "PUT", "/curranttrail/config", body);
+        const Message response = order(n % m_options.coordinators, "PUT", "/curranttrail/config", body);
         if (response.status() != lastStatus) {
             lastStatus = response.status();
-            record.add("PUT configuration at coordinator " + std::to_string(n % coordinators.size()) + ": " + (lastStatus == 0 ? "no response" : std::to_string(lastStatus)) + " " + response.body.substr(0, 160));
+            record.add("PUT configuration at coordinator " + std::to_string(n % m_options.coordinators) + ": " + (lastStatus == 0 ? "no response" : std::to_string(lastStatus)) + " " + response.body.substr(0, 160));
         }
         if (response.status() == 200)
             return true;
--- a/review/support-2/world.h
+++ b/review/support-2/world.h
@@ -171,7 +171,7 @@
     Process& operator=(const Process&) = delete;
 
     void start();
-    void signal(int number) const;
+    void signal(int number);
     // Ends the process at once and waits for its end.
     void kill();
     bool isRunning();
@@ -188,15 +188,19 @@
     const std::string m_settingsFile;
     const std::string m_logFile;
     pid_t m_id = -1;
+    bool m_isEndExpected = false;
     std::string m_unexpectedEnd;
 };
 
 struct WorldOptions {
+    // Those that start first.
     std::size_t coordinators = 3;
     std::size_t gateways = 1;
+    // Machines that are added later.
+    std::size_t spareCoordinators = 0;
 };
 
-// A small deployment: machines 127.0.0.11 and so on for coordinators, 127.0.0.31 and so on for gateways, and servers at 127.0.1.1 and
+// A small deployment: machines 127.0.0.11 and so on for coordinators, 127.0.2.1 and so on for gateways, and servers at 127.0.1.1 and
 // so on. The ports are the same on all machines.
 class World {
 public:
@@ -209,6 +213,8 @@
     void writeCoordinator(std::size_t n, bool bootstrap) const;
     void writeGateway(std::size_t n) const;
     void startAll();
+    // Names the coordinators whose addresses are written into settings from now on; the first three at the start.
+    void setSeeds(std::vector<std::size_t> seeds) { m_seeds = std::move(seeds); }
 
     Endpoint control(std::size_t n) const;
     Endpoint callers(std::size_t n) const;
@@ -230,6 +236,8 @@
     std::string seeds() const;
 
     const std::string m_folder;
+    const WorldOptions m_options;
+    std::vector<std::size_t> m_seeds { 0, 1, 2 };
     std::uint16_t m_basePort = 0;
     std::unique_ptr<PlatformStandIn> m_platform;
 };
