Complete an answer without a length through a relay only by the server's own close

cause: the operating system closes the sockets of a killed process in order, and RawHttpClient took the end of the relayed connection for the end of the answer ruled out: bytes lost in the relay (the second half is sent 0.4 s after the kill); completion on any error (a reset fails the attempt) change: the relay sends the server's bytes in records, and says in one of them that the server has closed in order; only that completes an answer without a length.

--- a/transport/raw_http_client.cpp
+++ b/transport/raw_http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/raw_http_parser.h"
 #include "transport/relay_protocol.h"
+#include "transport/relay_records.h"
 #include "transport/socket_options.h"
 
 #include <boost/asio.hpp>
@@ -93,6 +94,7 @@
             asio::post(m_context, [self = shared_from_this(), connection] { self->endRelay(connection, "the relay's address is not a numeric IPv4 address with a port"); });
             return;
         }
+        connection->isRelayed = true;
         connection->output = relayRequest(key, address);
         error_code ec;
         const Tcp::endpoint target(asio::ip::make_address(endpoint->address, ec), endpoint->port);
@@ -172,6 +174,9 @@
         bool outOfStep = false;
         // Bytes of the incomplete reply.
         std::size_t bufferedBytes = 0;
+        bool isRelayed = false;
+        // Set on a relayed connection whose relay sends records.
+        std::optional<RelayRecordReader> records;
     };
 
     static void prepareSocket(Connection& connection)
@@ -207,15 +212,22 @@
 
     void takeRelayResponse(const std::shared_ptr<Connection>& connection, const error_code& ec, std::size_t headSize)
     {
-        const unsigned status = ec ? 0 : statusOfRelayResponse(std::string_view { connection->unparsedBytes }.substr(0, headSize));
-        const bool hasSurplus = connection->unparsedBytes.size() > headSize;
+        const RelayResponse response = ec ? RelayResponse {} : parseRelayResponse(std::string_view { connection->unparsedBytes }.substr(0, headSize));
+        const std::string surplus = ec ? std::string {} : connection->unparsedBytes.substr(headSize);
         connection->unparsedBytes.clear();
-        if (status == kRelayOpened && !hasSurplus)
-            beginReading(connection);
-        else if (status == kRelayServerUnreachable)
+        if (response.status == kRelayServerUnreachable) {
             end(connection, "the server cannot be reached through another instance either");
-        else
-            endRelay(connection, ec ? ec.message() : "refused with status " + std::to_string(status));
+            return;
+        }
+        if (response.status != kRelayOpened || (!surplus.empty() && !response.sendsRecords)) {
+            endRelay(connection, ec ? ec.message() : "refused with status " + std::to_string(response.status));
+            return;
+        }
+        if (response.sendsRecords)
+            connection->records.emplace();
+        m_handlers.opened(connection->id);
+        if (!connection->closed && takeBytes(connection, surplus))
+            waitForBytes(connection);
     }
 
     void endRelay(const std::shared_ptr<Connection>& connection, std::string reason)
@@ -254,6 +266,11 @@
             waitForBytes(connection);
             return;
         }
+        // The end of a relayed connection says nothing of the server: it may be that of the relay's process.
+        if (ec == asio::error::eof && connection->isRelayed) {
+            end(connection, "the relay closed the connection");
+            return;
+        }
         if (ec == asio::error::eof) {
             handleEndOfStream(connection);
             return;
@@ -262,18 +279,39 @@
             end(connection, ec.message());
             return;
         }
-        if (!connection->busy) {
-            end(connection, "server sent data without a pending request");
-            return;
-        }
-        connection->unparsedBytes.append(m_readBuffer.data(), size);
-        setBufferedBytes(*connection, connection->bufferedBytes + size);
-        if (!parse(connection))
+        if (!takeBytes(connection, { m_readBuffer.data(), size }))
             return;
         waitForBytes(connection);
         limitBufferedBytes();
     }
 
+    // Returns true if reading from the connection continues.
+    bool takeBytes(const std::shared_ptr<Connection>& connection, std::string_view bytes)
+    {
+        const std::size_t sizeBefore = connection->unparsedBytes.size();
+        if (!connection->records) {
+            connection->unparsedBytes += bytes;
+        } else if (!connection->records->read(bytes, connection->unparsedBytes)) {
+            end(connection, "the relay sent a malformed record");
+            return false;
+        }
+        const std::size_t size = connection->unparsedBytes.size() - sizeBefore;
+        if (size > 0 && !connection->busy) {
+            end(connection, "server sent data without a pending request");
+            return false;
+        }
+        setBufferedBytes(*connection, connection->bufferedBytes + size);
+        if (size > 0 && !parse(connection))
+            return false;
+        if (!connection->records)
+            return true;
+        if (connection->records->hasServerClosed()) {
+            handleEndOfStream(connection);
+            return false;
+        }
+        return true;
+    }
+
     // Closes the connections with the largest incomplete replies until the limit is met.
     void limitBufferedBytes()
     {
@@ -348,7 +386,8 @@
         }
         // The connection cannot be reused if surplus bytes follow the reply, or if the request is not completely written: the
         // server would read the next request as the rest of this one.
-        const bool closing = ended || !message.keep_alive() || !connection->unparsedBytes.empty() || connection->writing || connection->outOfStep;
+        const bool closing = ended || !message.keep_alive() || !connection->unparsedBytes.empty() || connection->writing || connection->outOfStep
+            || (connection->records && connection->records->hasServerClosed());
         connection->busy = false;
         setBufferedBytes(*connection, 0);
         if (closing)
--- a/transport/relay_server.cpp
+++ b/transport/relay_server.cpp
@@ -1,6 +1,7 @@
 #include "transport/relay_server.h"
 
 #include "transport/relay_protocol.h"
+#include "transport/relay_records.h"
 #include "transport/socket_options.h"
 
 #include <boost/asio.hpp>
@@ -123,8 +124,14 @@
         asio::steady_timer timer;
         std::string head;
         std::array<char, kBufferBytes> toServer {};
-        std::array<char, kBufferBytes> toInstance {};
+        std::array<char, kBufferBytes> fromServer {};
+        // Bytes for the instance that are being written, and those that follow.
+        std::string writing;
+        std::string output;
+        bool isReadingFromServer = false;
+        bool hasServerClosed = false;
         bool isClosed = false;
+        bool sendsRecords = false;
         // Address of the server; empty until the connection to it is open.
         std::string address;
         // True if the last bytes came from the instance.
@@ -162,20 +169,21 @@
 
     void connect(const SessionPointer& session, std::size_t headSize)
     {
-        const std::optional<std::string> address = addressInRelayRequest(m_key, std::string_view { session->head }.substr(0, headSize));
-        const std::optional<Endpoint> endpoint = address ? parseEndpoint(*address) : std::nullopt;
+        const std::optional<RelayRequest> request = parseRelayRequest(m_key, std::string_view { session->head }.substr(0, headSize));
+        const std::optional<Endpoint> endpoint = request ? parseEndpoint(request->address) : std::nullopt;
         // The instance sends nothing before the answer.
         if (!endpoint || session->head.size() > headSize) {
             refuse(session, kForbidden);
             return;
         }
-        if (m_sessions.size() > kMaximumConnections || !m_permission || !m_permission(*address)) {
+        if (m_sessions.size() > kMaximumConnections || !m_permission || !m_permission(request->address)) {
             refuse(session, kUnavailable);
             return;
         }
+        session->sendsRecords = request->readsRecords;
         error_code ec;
         const Tcp::endpoint target(asio::ip::make_address(endpoint->address, ec), endpoint->port);
-        session->server.async_connect(target, [self = shared_from_this(), session, address = *address](const error_code& connectError) {
+        session->server.async_connect(target, [self = shared_from_this(), session, address = request->address](const error_code& connectError) {
             if (session->isClosed)
                 return;
             if (connectError) {
@@ -186,8 +194,8 @@
             session->address = address;
             self->answer(session, kRelayOpened, [self, session] {
                 session->timer.cancel();
-                self->pass(session, session->instance, session->server, session->toServer);
-                self->pass(session, session->server, session->instance, session->toInstance);
+                self->passRequests(session);
+                self->passAnswers(session);
             });
         });
     }
@@ -199,7 +207,7 @@
 
     void answer(const SessionPointer& session, unsigned status, std::function<void()> then)
     {
-        session->head = relayResponse(status);
+        session->head = relayResponse(status, status == kRelayOpened && session->sendsRecords);
         asio::async_write(session->instance, asio::buffer(session->head), [self = shared_from_this(), session, then = std::move(then)](const error_code& ec, std::size_t) {
             if (session->isClosed)
                 return;
@@ -210,34 +218,75 @@
         });
     }
 
-    // Passes bytes on in one direction until either end closes.
-    void pass(const SessionPointer& session, Tcp::socket& from, Tcp::socket& to, std::array<char, kBufferBytes>& buffer)
+    void passRequests(const SessionPointer& session)
     {
-        from.async_read_some(asio::buffer(buffer), [self = shared_from_this(), session, &from, &to, &buffer](const error_code& ec, std::size_t size) {
+        session->instance.async_read_some(asio::buffer(session->toServer), [self = shared_from_this(), session](const error_code& ec, std::size_t size) {
             if (session->isClosed)
                 return;
-            if (ec) {
-                self->end(session, ec != asio::error::eof);
-                return;
-            }
-            const bool isFromInstance = &from == &session->instance;
             // More bytes of a request that has begun are passed on.
-            if (isFromInstance && !session->awaitsAnswer && !self->mayRequest(*session)) {
-                self->end(session, true);
+            if (ec || (!session->awaitsAnswer && !self->mayRequest(*session))) {
+                self->end(session, ec != asio::error::eof);
                 return;
             }
-            session->awaitsAnswer = isFromInstance;
-            asio::async_write(to, asio::buffer(buffer.data(), size), [self, session, &from, &to, &buffer](const error_code& writeError, std::size_t) {
+            session->awaitsAnswer = true;
+            asio::async_write(session->server, asio::buffer(session->toServer.data(), size), [self, session](const error_code& writeError, std::size_t) {
                 if (session->isClosed)
                     return;
                 if (writeError)
                     self->end(session, true);
                 else
-                    self->pass(session, from, to, buffer);
+                    self->passRequests(session);
             });
         });
     }
 
+    void passAnswers(const SessionPointer& session)
+    {
+        session->isReadingFromServer = true;
+        session->server.async_read_some(asio::buffer(session->fromServer), [self = shared_from_this(), session](const error_code& ec, std::size_t size) {
+            session->isReadingFromServer = false;
+            if (session->isClosed)
+                return;
+            if (ec && ec != asio::error::eof) {
+                self->end(session, true);
+                return;
+            }
+            session->hasServerClosed = ec == asio::error::eof;
+            session->awaitsAnswer = false;
+            const std::string_view bytes { session->fromServer.data(), size };
+            if (!session->sendsRecords)
+                self->sendToInstance(session, bytes);
+            else
+                self->sendToInstance(session, relayRecord(session->hasServerClosed ? RelayRecordKind::ServerClosed : RelayRecordKind::Data, bytes));
+        });
+    }
+
+    // Appends bytes to the output. Once all of it is written, the next ones are read from the server.
+    void sendToInstance(const SessionPointer& session, std::string_view bytes)
+    {
+        session->output += bytes;
+        if (session->writing.empty())
+            writeOutput(session);
+    }
+
+    void writeOutput(const SessionPointer& session)
+    {
+        session->writing = std::exchange(session->output, {});
+        asio::async_write(session->instance, asio::buffer(session->writing), [self = shared_from_this(), session](const error_code& ec, std::size_t) {
+            session->writing.clear();
+            if (session->isClosed)
+                return;
+            if (ec)
+                self->end(session, true);
+            else if (!session->output.empty())
+                self->writeOutput(session);
+            else if (session->hasServerClosed)
+                self->end(session, false);
+            else if (!session->isReadingFromServer)
+                self->passAnswers(session);
+        });
+    }
+
     void end(const SessionPointer& session, bool isReset)
     {
         session->close(isReset);
