Let the instance end a relayed connection whose server gets no more requests

cause: RelayServer took the first bytes of the server for the whole answer (awaitsAnswer), and closeForbidden() ended such sessions change: closeForbidden() ends only connections that have not been used. For the others a record tells the instance, which closes the connection at once or after the answer that is due.

--- a/tests/transport/relay_test.cpp
+++ b/tests/transport/relay_test.cpp
@@ -139,6 +139,15 @@
             context.run_one_for(std::chrono::milliseconds { 10 });
     }
 
+    // Runs the event loop until the relay holds no connection. Returns false after 10 s.
+    bool hasNoConnections()
+    {
+        const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds { 10 };
+        while (relay.connections() > 0 && std::chrono::steady_clock::now() < deadline)
+            context.run_one_for(std::chrono::milliseconds { 50 });
+        return relay.connections() == 0;
+    }
+
     boost::asio::io_context context { 1 };
     bool isPermitted = true;
     std::string outcome;
@@ -213,10 +222,21 @@
     fixture.server.respond(fixture.lastExchange, { 200, {}, "done" });
     BOOST_TEST_REQUIRE(fixture.reaches("replied"));
     BOOST_TEST(fixture.body == "done");
+    BOOST_TEST(fixture.hasNoConnections());
+
+    // The instance has not been told.
+    mayRequest = true;
+    fixture.open();
+    BOOST_TEST_REQUIRE(fixture.reaches("opened"));
+    fixture.client.send({ 1 }, "GET /echo HTTP/1.1\r\nHost: x\r\n\r\n", true);
+    BOOST_TEST_REQUIRE(fixture.reaches("replied"));
+    mayRequest = false;
+    const ExchangeId last = fixture.lastExchange;
     fixture.client.send({ 1 }, "GET /echo HTTP/1.1\r\nHost: x\r\n\r\n", true);
     fixture.outcome.clear();
     BOOST_TEST(fixture.reaches("failed"), fixture.outcome);
     BOOST_TEST(fixture.relay.connections() == 0u);
+    BOOST_TEST((fixture.lastExchange == last));
 
     mayRequest = true;
     fixture.client.openThroughRelay({ 2 }, fmt::format("127.0.0.1:{}", fixture.server.port()), fmt::format("127.0.0.1:{}", fixture.relay.port()), kKey);
@@ -312,11 +332,51 @@
     BOOST_TEST(instance.isClosedWithin(5'000));
 }
 
+// An order to evacuate a server comes in the middle of its answer. Guards against an answer that is cut off, and against one that looks
+// whole without its second half.
+BOOST_AUTO_TEST_CASE(AServerThatGetsNoMoreRequestsFinishesTheAnswerThatHasBegun)
+{
+    RelayFixture fixture;
+    RawServer server;
+    bool mayRequest = true;
+    fixture.relay.setRequestPermission([&](const std::string&) { return mayRequest; });
+    RawClient peer = fixture.request(server, fixture.relay.port());
+    peer.send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+    fixture.settle();
+    mayRequest = false;
+    fixture.relay.closeForbidden();
+    fixture.settle();
+    BOOST_TEST(fixture.outcome == "opened");
+    peer.send("half");
+    BOOST_TEST_REQUIRE(fixture.reaches("replied"), fixture.outcome);
+    BOOST_TEST(fixture.body == "halfhalf");
+    BOOST_TEST(fixture.hasNoConnections());
+}
+
+// Guards against idle connections that stay open to a server that gets no more requests, until the next request fails on them.
+BOOST_AUTO_TEST_CASE(AnIdleConnectionToAServerThatGetsNoMoreRequestsIsClosed)
+{
+    RelayFixture fixture;
+    bool mayRequest = true;
+    fixture.relay.setRequestPermission([&](const std::string&) { return mayRequest; });
+    fixture.open();
+    BOOST_TEST_REQUIRE(fixture.reaches("opened"));
+    fixture.client.send({ 1 }, "GET /echo HTTP/1.1\r\nHost: x\r\n\r\n", true);
+    BOOST_TEST_REQUIRE(fixture.reaches("replied"));
+    fixture.relay.closeForbidden();
+    fixture.settle();
+    BOOST_TEST(fixture.relay.connections() == 1u);
+    mayRequest = false;
+    fixture.relay.closeForbidden();
+    BOOST_TEST(fixture.reaches("disconnected: the relay sends the server no more requests"), fixture.outcome);
+    BOOST_TEST(fixture.hasNoConnections());
+}
+
 // Guards against a reader that takes a broken or continued stream for one that has ended in order.
 BOOST_AUTO_TEST_CASE(RecordsAreReadFromAnyPieces)
 {
     const std::string body(70'000, 'x');
-    const std::string stream = relayRecord(RelayRecordKind::Data, "first ") + relayRecord(RelayRecordKind::Data, body) + relayRecord(RelayRecordKind::ServerClosed);
+    const std::string stream = relayRecord(RelayRecordKind::Data, "first ") + relayRecord(RelayRecordKind::NoMoreRequests) + relayRecord(RelayRecordKind::Data, body) + relayRecord(RelayRecordKind::ServerClosed);
     for (const std::size_t pieceBytes : { std::size_t { 1 }, std::size_t { 3 }, std::size_t { 8'192 }, stream.size() }) {
         RelayRecordReader reader;
         std::string data;
@@ -326,10 +386,11 @@
         }
         BOOST_TEST((data == "first " + body));
         BOOST_TEST(reader.hasServerClosed());
+        BOOST_TEST(reader.takesNoMoreRequests());
         BOOST_TEST(!reader.read("x", data));
     }
     std::string data;
-    BOOST_TEST(!RelayRecordReader {}.read(std::string_view { "\2\0\0\0", 4 }, data));
+    BOOST_TEST(!RelayRecordReader {}.read(std::string_view { "\3\0\0\0", 4 }, data));
     BOOST_TEST(!RelayRecordReader {}.read(std::string_view { "\1\0\0\1", 4 }, data));
     BOOST_TEST(data.empty());
 }
--- a/transport/raw_http_client.cpp
+++ b/transport/raw_http_client.cpp
@@ -309,6 +309,10 @@
             handleEndOfStream(connection);
             return false;
         }
+        if (connection->records->takesNoMoreRequests() && !connection->busy) {
+            end(connection, "the relay sends the server no more requests");
+            return false;
+        }
         return true;
     }
 
@@ -387,7 +391,7 @@
         // The connection cannot be reused if surplus bytes follow the reply, or if the request is not completely written: the
         // server would read the next request as the rest of this one.
         const bool closing = ended || !message.keep_alive() || !connection->unparsedBytes.empty() || connection->writing || connection->outOfStep
-            || (connection->records && connection->records->hasServerClosed());
+            || (connection->records && (connection->records->hasServerClosed() || connection->records->takesNoMoreRequests()));
         connection->busy = false;
         setBufferedBytes(*connection, 0);
         if (closing)
--- a/transport/relay_records.cpp
+++ b/transport/relay_records.cpp
@@ -48,6 +48,9 @@
     case RelayRecordKind::ServerClosed:
         m_hasServerClosed = true;
         return m_remaining == 0;
+    case RelayRecordKind::NoMoreRequests:
+        m_takesNoMoreRequests = true;
+        return m_remaining == 0;
     }
     return false;
 }
--- a/transport/relay_records.h
+++ b/transport/relay_records.h
@@ -14,6 +14,8 @@
     Data,
     // The server has closed the connection in order. The last record.
     ServerClosed,
+    // The server gets no more requests. The reply to one that it has received follows.
+    NoMoreRequests,
 };
 
 // Returns a record. Only records of data hold bytes, at most 2^24 - 1.
@@ -26,6 +28,8 @@
     bool read(std::string_view piece, std::string& data);
     // True if the server has closed the connection in order. Otherwise the end of the stream is a failure of the relay.
     bool hasServerClosed() const { return m_hasServerClosed; }
+    // True if the server gets no more requests through the relay.
+    bool takesNoMoreRequests() const { return m_takesNoMoreRequests; }
 
 private:
     bool finishHead();
@@ -35,6 +39,7 @@
     // Bytes of the current record that have not arrived.
     std::size_t m_remaining = 0;
     bool m_hasServerClosed = false;
+    bool m_takesNoMoreRequests = false;
 };
 
 } // namespace curranttrail::transport
--- a/transport/relay_server.cpp
+++ b/transport/relay_server.cpp
@@ -79,8 +79,13 @@
     {
         const std::set<SessionPointer> sessions = m_sessions;
         for (const SessionPointer& session : sessions) {
-            if (!session->awaitsAnswer && !mayRequest(*session))
+            if (mayRequest(*session))
+                continue;
+            // Only the instance knows whether an answer is complete, so a connection that has been used is left to it.
+            if (!session->wasUsed)
                 end(session, false);
+            else if (session->sendsRecords && !session->hasServerClosed && !std::exchange(session->saysNoMoreRequests, true))
+                sendToInstance(session, relayRecord(RelayRecordKind::NoMoreRequests));
         }
     }
 
@@ -132,6 +137,9 @@
         bool hasServerClosed = false;
         bool isClosed = false;
         bool sendsRecords = false;
+        bool saysNoMoreRequests = false;
+        // True once the instance has sent bytes for the server.
+        bool wasUsed = false;
         // Address of the server; empty until the connection to it is open.
         std::string address;
         // True if the last bytes came from the instance.
@@ -228,6 +236,7 @@
                 self->end(session, ec != asio::error::eof);
                 return;
             }
+            session->wasUsed = true;
             session->awaitsAnswer = true;
             asio::async_write(session->server, asio::buffer(session->toServer.data(), size), [self, session](const error_code& writeError, std::size_t) {
                 if (session->isClosed)
--- a/transport/relay_server.h
+++ b/transport/relay_server.h
@@ -27,7 +27,8 @@
 
     // The function returns whether the server at an address may get a request now. A connection that is used for another one is closed.
     void setRequestPermission(Permission permission);
-    // Closes the connections to servers that may get no requests, unless they wait for an answer.
+    // Tells the other instances which connections lead to servers that may get no requests, so that they close them once no answer is
+    // due. Closes those on which no request has been sent.
     void closeForbidden();
     std::uint16_t port() const;
     // Takes no more connections. Those that are open stay.
