Take no cut-off list or number for a whole one when only the connection ends it

cause: a server list that is no JSON is read entry by entry, so one that was cut off behind an entry with a list in it looked like a shorter list; a subquery's result that is a number stays JSON when cut off ruled out: documents, reports, instances and other results are JSON objects, which a cut makes unreadable; health is judged by the status; control replies are frames with a length change: HttpResult says whether only the connection ends the body; such a list is decoded only as a whole, and a number is not taken measured: BackendClients/NumberWithoutALengthMeansBytesSent red on the code before ("unexpected event") -> holds; Decoding/AListThatMayBeCutOffIsTakenOnlyAsAWhole red with the decoding of before (1 of its prefixes) -> holds.

--- a/main/server_list_poller.cpp
+++ b/main/server_list_poller.cpp
@@ -46,7 +46,7 @@
             fail(result.answered ? fmt::format("status {}", result.response.status) : result.error);
             return;
         }
-        std::variant<platform::ServerPage, platform::DecodeError> decoded = platform::decodeServerPage(result.response.body);
+        std::variant<platform::ServerPage, platform::DecodeError> decoded = platform::decodeServerPage(result.response.body, result.endsWithConnection);
         if (const platform::DecodeError* error = std::get_if<platform::DecodeError>(&decoded)) {
             fail(error->reason);
             return;
--- a/tests/platform/decode_test.cpp
+++ b/tests/platform/decode_test.cpp
@@ -103,6 +103,15 @@
     }
 }
 
+// Guards against a list that is cut off with its connection and hides the servers at its end.
+BOOST_AUTO_TEST_CASE(AListThatMayBeCutOffIsTakenOnlyAsAWhole)
+{
+    const std::string whole = R"({"instances":[{"service":"s","address":"10.0.0.1:80","zone":"z","slots":2,"state":"ready","id":"i1"},{"service":"s","address":"10.0.0.2:80","zone":"z","slots":2,"state":"ready","id":"i2","labels":["a"]}]})";
+    BOOST_TEST(std::holds_alternative<ServerPage>(decodeServerPage(whole, true)));
+    for (std::size_t size = 0; size < whole.size(); ++size)
+        BOOST_TEST(std::holds_alternative<DecodeError>(decodeServerPage(whole.substr(0, size), true)), whole.substr(0, size));
+}
+
 // The same with entries of random bytes.
 BOOST_DATA_TEST_CASE(RandomEntriesHideNoOtherEntry, boost::unit_test::data::xrange(1, 301), seed)
 {
--- a/tests/transport/backend_client_test.cpp
+++ b/tests/transport/backend_client_test.cpp
@@ -155,6 +155,18 @@
     expectLostWith(AttemptProgress::BytesSent);
 }
 
+// Guards against a number that is cut off with its connection and looks whole.
+BOOST_FIXTURE_TEST_CASE(NumberWithoutALengthMeansBytesSent, Fixture)
+{
+    std::string text = reply("e1-a-1", "200 OK", "12");
+    const std::size_t begin = text.find("Content-Length");
+    text.erase(begin, text.find("\r\n", begin) + 2 - begin);
+    RawClient peer = serveRequest();
+    peer.send(text);
+    peer.close();
+    expectLostWith(AttemptProgress::BytesSent);
+}
+
 // Guards against merging a reply that lacks the echoed attempt fields, violates the protocol or is not JSON.
 BOOST_FIXTURE_TEST_CASE(MalformedRepliesEndTheConnection, Fixture)
 {
--- a/transport/backend_client.cpp
+++ b/transport/backend_client.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <cctype>
 #include <mutex>
 #include <unordered_map>
 
@@ -171,6 +172,11 @@
             for (const auto& field : message)
                 response.fields.emplace_back(std::string { field.name_string() }, std::string { field.value() });
             response.body = std::move(message.body());
+            // A number that is cut off is still JSON.
+            if (message.need_eof() && !response.body.empty() && std::isdigit(static_cast<unsigned char>(response.body.back())) != 0) {
+                fail("a number without a length");
+                return;
+            }
             std::optional<query::SubqueryReplied> reply = parseReply(response, m_shared->options.attemptPrefix, m_id, m_server);
             if (!reply) {
                 m_shared->malformed.add();
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -92,7 +92,7 @@
             m_timer.expires_after(timeout);
             m_timer.async_wait([self = shared_from_this()](const error_code& ec) {
                 if (!ec)
-                    self->finish({ false, {}, "timed out" });
+                    self->finish({ .error = "timed out" });
             });
             if (std::optional<Tcp::socket> idle = m_pool->takeIdleSocket(m_server)) {
                 // The idle socket is bound to another call's strand, so only its descriptor is taken over.
@@ -151,7 +151,7 @@
             if (m_reused)
                 connect();
             else
-                finish({ false, {}, ec.message() });
+                finish({ .error = ec.message() });
             return true;
         }
 
@@ -160,6 +160,7 @@
             http::response<http::string_body> message = m_parser->release();
             HttpResult result;
             result.answered = true;
+            result.endsWithConnection = message.need_eof();
             result.response.status = message.result_int();
             for (const auto& field : message)
                 result.response.fields.emplace_back(std::string { field.name_string() }, std::string { field.value() });
--- a/transport/http_client.h
+++ b/transport/http_client.h
@@ -15,6 +15,8 @@
 struct HttpResult {
     bool answered = false;
     HttpResponse response;
+    // True if only the end of the connection ends the body, which may then be cut off.
+    bool endsWithConnection = false;
     std::string error;
 };
 
