--- a/control/control_election.cpp
+++ b/control/control_election.cpp
@@ -148,6 +148,7 @@
                        { "last_term", fmt::to_string(m_log.lastTerm()) },
                        { "last_index", fmt::to_string(m_log.lastIndex()) },
                        { "commit_index", fmt::to_string(m_commitIndex) },
+                       { "members_recorded", membersRecorded() ? "true" : "false" },
                        { "voters", fmt::format("{}", fmt::join(members().voters, ",")) },
                        { "learners", fmt::format("{}", fmt::join(members().learners, ",")) },
                        { "voted_for", m_votedFor.value_or("") },
--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -247,7 +247,7 @@
     std::vector<std::string> outcomes;
     for (const auto& [target, outcome] : m_outcomes)
         outcomes.push_back(fmt::format("{}={}", target, outcome));
-    m_sink.log(events::kNoControlLeader, { { "for_us", fmt::to_string((now - m_leaderlessSince).count()) }, { "tried", fmt::format("{}", fmt::join(outcomes, ",")) }, { "version", fmt::to_string(m_transfer.received()) } });
+    m_sink.log(events::kNoControlLeader, { { "for_us", fmt::to_string((now - m_leaderlessSince).count()) }, { "tried", fmt::format("{}", fmt::join(outcomes, ",")) }, { "known", fmt::format("{}", fmt::join(knownInstances(), ",")) }, { "version", fmt::to_string(m_transfer.received()) } });
 }
 
 void ControlFeed::connectTo(const InstanceName& name)
@@ -262,13 +262,19 @@
         m_client = std::make_unique<transport::FrameClient>(m_loop, m_options, endpoint->address, endpoint->port);
 }
 
-// Connects to the known instance that follows the current one in the order of names.
-void ControlFeed::connectToNext()
+std::set<InstanceName> ControlFeed::knownInstances() const
 {
-    m_redirects = 0;
     std::set<InstanceName> known = m_members;
     for (const transport::Endpoint& seed : m_groupConnection.seeds)
         known.insert(memberName(m_groupConnection, seed));
+    return known;
+}
+
+// Connects to the known instance that follows the current one in the order of names.
+void ControlFeed::connectToNext()
+{
+    m_redirects = 0;
+    const std::set<InstanceName> known = knownInstances();
     if (known.empty())
         return;
     auto next = known.upper_bound(m_target);
--- a/main/control_feed.h
+++ b/main/control_feed.h
@@ -54,6 +54,8 @@
     void takeLeavingServers(std::vector<std::string> servers, Micros age);
     void reportLost(std::string_view reason);
     void reportMissingLeader(std::string_view reason);
+    // Returns the control instances that this instance may ask.
+    std::set<InstanceName> knownInstances() const;
     void connectTo(const InstanceName& name);
     void connectToNext();
     void watchAfter(Micros delay);
