Let a gateway keep the members that the leader named

Gateways asked one seed after the other for the leader 18 s after its election, and no seed was a member.

cause: each reply replaced the members that a gateway knew, also that of an instance that has lost its disk and been removed: it names the seeds of its settings.

--- a/control/control_reducer.cpp
+++ b/control/control_reducer.cpp
@@ -282,6 +282,7 @@
     status.configurationVersion = state().configuration.version;
     status.voters = members().voters;
     status.learners = members().learners;
+    status.membersRecorded = membersRecorded();
     status.timeWithoutLeader = timeWithoutLeader(std::max(now, m_now));
     return status;
 }
--- a/control/feed.h
+++ b/control/feed.h
@@ -109,6 +109,7 @@
     // True if the sender is the leader and holds a valid lease, so that no newer document is in force.
     bool leads = false;
     std::optional<InstanceName> leader;
+    // Empty from an instance that holds no log of the group. Earlier builds name their seeds then.
     std::vector<InstanceName> members;
     // Entry instances that watch this leader. Present only if their list differs from the requester's version.
     ListVersion entryListVersion;
--- a/control/messages.h
+++ b/control/messages.h
@@ -368,6 +368,8 @@
     ConfigurationVersion configurationVersion;
     std::set<InstanceName> voters;
     std::set<InstanceName> learners;
+    // False if the voters are the seeds of the settings, since this replica holds no log of the group.
+    bool membersRecorded = false;
     // Time since this replica last heard from a leader. Zero at a leader.
     Micros timeWithoutLeader { 0 };
 };
--- a/main/control_feed.cpp
+++ b/main/control_feed.cpp
@@ -143,9 +143,8 @@
 
 void ControlFeed::handleReply(control::WatchReply reply, TimePoint requestSentAt)
 {
-    if (!reply.members.empty())
-        m_members = { reply.members.begin(), reply.members.end() };
     if (!reply.leads) {
+        m_members.addNamed(reply.members);
         reportLost("the instance is not the leader");
         reportMissingLeader(reply.leader ? "names_" + *reply.leader : "knows_no_leader");
         takeLeavingServers(std::move(reply.leavingServers), reply.serverListAge);
@@ -159,6 +158,8 @@
         });
         return;
     }
+    if (!reply.members.empty())
+        m_members.setMembers({ reply.members.begin(), reply.members.end() });
     m_redirects = 0;
     m_outcomes.clear();
     if (!std::exchange(m_following, true))
@@ -264,7 +265,7 @@
 
 std::set<InstanceName> ControlFeed::knownInstances() const
 {
-    std::set<InstanceName> known = m_members;
+    std::set<InstanceName> known = m_members.all();
     for (const transport::Endpoint& seed : m_groupConnection.seeds)
         known.insert(memberName(m_groupConnection, seed));
     return known;
--- a/main/control_feed.h
+++ b/main/control_feed.h
@@ -3,6 +3,7 @@
 #include "control/crash_exchange.h"
 #include "control/document_transfer.h"
 #include "control/feed.h"
+#include "control/member_directory.h"
 #include "main/group_connection.h"
 #include "transport/event_sink.h"
 #include "transport/frame_link.h"
@@ -81,7 +82,7 @@
     TimePoint m_partRequestedAt;
     // True if the current control instance has replied to a watch request since the last request for a part.
     bool m_isAliveSinceRequest = false;
-    std::set<InstanceName> m_members;
+    control::MemberDirectory m_members;
     InstanceName m_target;
     bool m_following = false;
     // Why each control instance did not serve as the leader, since the last report of a missing leader.
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -70,8 +70,10 @@
     control::WatchReply reply;
     reply.leads = status.role == control::Role::Leader && status.leaseValid;
     reply.leader = status.leader;
-    reply.members.assign(status.voters.begin(), status.voters.end());
-    reply.members.insert(reply.members.end(), status.learners.begin(), status.learners.end());
+    if (status.membersRecorded) {
+        reply.members.assign(status.voters.begin(), status.voters.end());
+        reply.members.insert(reply.members.end(), status.learners.begin(), status.learners.end());
+    }
     updateEntryInstances(now);
     reply.entryListVersion = m_entryListVersion;
     control::ListVersion heldEntryList = pending.request.entryListVersion;
--- a/tests/main/control_feed_test.cpp
+++ b/tests/main/control_feed_test.cpp
@@ -1,8 +1,10 @@
 #include "main/control_feed.h"
 #include "main/group_links.h"
+#include "tests/stand_ins/free_ports.h"
 #include "transport/control_protocol.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include <condition_variable>
 #include <mutex>
@@ -52,17 +54,45 @@
     transport::FrameServer server;
 };
 
+// A control instance at an address of its own, which gives the same reply to all watch requests until it is replaced.
+struct ControlInstance {
+    ControlInstance(const std::string& address, std::uint16_t port, control::WatchReply first)
+        : reply(std::move(first))
+        , server(loop, groupLinkOptions(address, kKey, sink), address, port, [this](const transport::IncomingFrame& frame, const transport::FrameResponder& respond) {
+            if (frame.type == static_cast<std::uint16_t>(transport::MessageType::Watch))
+                loop.after(kPartDelay / 4, [this, respond] { respond(control::encodeWatchReply(reply)); });
+        })
+    {
+    }
+
+    void setReply(control::WatchReply changed)
+    {
+        loop.runAndWait([&] { reply = std::move(changed); });
+    }
+
+    transport::EventSink sink { { .instance = "control", .output = nullptr } };
+    transport::EventLoop loop;
+    control::WatchReply reply;
+    transport::FrameServer server;
+};
+
 // An entry instance that watches the leader.
 struct Watcher {
     explicit Watcher(const Leader& leader)
+        : Watcher("127.0.0.1", leader.server.port())
+    {
+    }
+
+    Watcher(const std::string& seed, std::uint16_t port)
     {
         GroupConnection group;
-        group.seeds = { { "127.0.0.1", leader.server.port() } };
-        group.groupPort = leader.server.port();
+        group.seeds = { { seed, port } };
+        group.groupPort = port;
         group.linkKey = kKey;
         ControlFeed::Handlers handlers;
         handlers.reply = [this](const control::WatchReply& reply, const std::vector<policy::CrashRecord>&, TimePoint) {
             const std::lock_guard lock(mutex);
+            ++replies;
             repliesWithoutEvacuation += reply.evacuatedDataCentres.empty() ? 1 : 0;
             if (document.empty())
                 ++listsBeforeTheDocument;
@@ -79,6 +109,12 @@
         feed.emplace(control::EntryInstance { "watcher", "cairo", "" }, group, sink, std::move(handlers));
     }
 
+    bool waitForReply()
+    {
+        std::unique_lock lock(mutex);
+        return changed.wait_for(lock, kTestTimeout, [this] { return replies > 0; });
+    }
+
     bool waitForDocument()
     {
         std::unique_lock lock(mutex);
@@ -89,6 +125,7 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::string document;
+    int replies = 0;
     int listsBeforeTheDocument = 0;
     int repliesWithoutEvacuation = 0;
     std::atomic<int> disconnections { 0 };
@@ -135,4 +172,32 @@
     BOOST_TEST(watcher.repliesWithoutEvacuation == 0);
 }
 
+// The only seed has lost its disk and is no member of the group any more. Guards against an instance that finds no leader for good, and so
+// keeps an old configuration, after it has asked the seed: the seed's list, itself, replaced the members.
+BOOST_AUTO_TEST_CASE(ASeedOutsideTheGroupDoesNotHideTheMembers)
+{
+    const std::uint16_t port = stand_ins::findFreePorts({ "127.0.0.31", "127.0.0.32", "127.0.0.33" });
+    const auto name = [port](const char* address) { return fmt::format("{}:{}", address, port); };
+    control::WatchReply names;
+    names.members = { name("127.0.0.31"), name("127.0.0.33") };
+    control::WatchReply redirects = names;
+    redirects.leader = name("127.0.0.31");
+    control::WatchReply leads = names;
+    leads.leads = true;
+    control::WatchReply leadsWithDocument = leads;
+    leadsWithDocument.documentVersion = 8;
+    leadsWithDocument.document = "{}";
+    std::optional<ControlInstance> leader(std::in_place, "127.0.0.31", port, leads);
+    ControlInstance seed("127.0.0.32", port, redirects);
+    ControlInstance successor("127.0.0.33", port, names);
+    Watcher watcher("127.0.0.32", port);
+    BOOST_TEST_REQUIRE(watcher.waitForReply());
+    control::WatchReply outside;
+    outside.members = { name("127.0.0.32") };
+    seed.setReply(outside);
+    successor.setReply(leadsWithDocument);
+    leader.reset();
+    BOOST_TEST(watcher.waitForDocument());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
