Tell an instance that wants to join who leads the group

cause: only the leader admits an instance, and a request to join went to the seeds and the members of the own log. An instance that has lost its disk has no log.

--- a/control/feed.cpp
+++ b/control/feed.cpp
@@ -49,6 +49,12 @@
     archive(message.name);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, JoinReply& message)
+{
+    archive(message.leader, message.members);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, LeaveRequest& message)
 {
@@ -113,6 +119,8 @@
 
 std::string encodeJoin(const JoinRequest& message) { return detail::encodeValue(message); }
 std::optional<JoinRequest> decodeJoin(std::string_view bytes) { return detail::decodeValue<JoinRequest>(bytes, kMaximumRequestBytes); }
+std::string encodeJoinReply(const JoinReply& message) { return detail::encodeValue(message); }
+std::optional<JoinReply> decodeJoinReply(std::string_view bytes) { return detail::decodeValue<JoinReply>(bytes, kMaximumReplyBytes); }
 std::string encodeLeave(const LeaveRequest& message) { return detail::encodeValue(message); }
 std::optional<LeaveRequest> decodeLeave(std::string_view bytes) { return detail::decodeValue<LeaveRequest>(bytes, kMaximumRequestBytes); }
 std::string encodeLeaveReply(const LeaveReply& message) { return detail::encodeValue(message); }
--- a/control/feed.h
+++ b/control/feed.h
@@ -18,11 +18,17 @@
 // instances, and by which control instances ask to join or to leave the group.
 namespace curranttrail::control {
 
-// Sent by a control instance that is not a member of the group.
+// Sent by a control instance that is not a member of the group, or knows no leader.
 struct JoinRequest {
     InstanceName name;
 };
 
+// Whom the sender of a JoinRequest may ask next, since only the leader admits it. Empty from an instance that holds no log of the group.
+struct JoinReply {
+    std::optional<InstanceName> leader;
+    std::vector<InstanceName> members;
+};
+
 // Sent by a member of the group that is about to stop. Only the leader replies, once the outcome is known.
 struct LeaveRequest {
     InstanceName name;
@@ -159,6 +165,8 @@
 
 std::string encodeJoin(const JoinRequest& message);
 std::optional<JoinRequest> decodeJoin(std::string_view bytes);
+std::string encodeJoinReply(const JoinReply& message);
+std::optional<JoinReply> decodeJoinReply(std::string_view bytes);
 std::string encodeLeave(const LeaveRequest& message);
 std::optional<LeaveRequest> decodeLeave(std::string_view bytes);
 std::string encodeLeaveReply(const LeaveReply& message);
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -1,6 +1,7 @@
 #include "main/coordinator_daemon.h"
 
 #include "control/member_change_planner.h"
+#include "control/member_directory.h"
 #include "control/server_list_schedule.h"
 #include "control/state_machine.h"
 #include "core/random.h"
@@ -109,7 +110,11 @@
     {
         GroupLinks::Handlers handlers;
         handlers.peer = [this](const InstanceName& from, control::PeerMessage message) { runtime.receive(from, std::move(message)); };
-        handlers.join = [this](const InstanceName& name) { memberChangePlanner.recordJoinRequest(name, transport::monotonicNow()); };
+        handlers.join = [this](const InstanceName& name, std::function<void(const control::JoinReply&)> respond) {
+            memberChangePlanner.recordJoinRequest(name, transport::monotonicNow());
+            if (respond)
+                answerJoin(std::move(respond));
+        };
         handlers.leave = [this](const InstanceName& name, std::function<void(control::LeaveOutcome)> respond) {
             memberChangePlanner.recordLeaveRequest(name, transport::monotonicNow());
             pendingLeaves[name] = std::move(respond);
@@ -172,6 +177,8 @@
             if (isLeaving())
                 return;
             const bool isMember = status.leader && (status.voters.contains(self) || status.learners.contains(self));
+            if (isMember)
+                directory.setMembers({});
             if (!isMember && now - lastJoin >= kJoinInterval)
                 join(status, now);
             return;
@@ -289,12 +296,39 @@
     void join(const control::ReplicaStatus& status, TimePoint now)
     {
         lastJoin = now;
-        std::set<InstanceName> targets = status.voters;
+        std::set<InstanceName> targets = directory.all();
+        targets.insert(status.voters.begin(), status.voters.end());
         for (const transport::Endpoint& seed : seeds)
             targets.insert(memberName(settings.groupConnection, seed));
         sink.log(events::kJoinRequested, { { "targets", fmt::format("{}", fmt::join(targets, ",")) }, { "term", fmt::to_string(status.term) } });
         for (const InstanceName& target : targets)
-            links.sendJoin(target);
+            requestJoin(target);
+    }
+
+    // Only the leader admits an instance, and it need not be among the seeds. The members that a reply names are asked at once.
+    void requestJoin(const InstanceName& target)
+    {
+        links.requestJoin(target, kJoinInterval, [this](const control::JoinReply& reply) {
+            std::vector<InstanceName> names = reply.members;
+            if (reply.leader)
+                names.push_back(*reply.leader);
+            for (const InstanceName& name : directory.addNamed(names))
+                requestJoin(name);
+        });
+    }
+
+    void answerJoin(std::function<void(const control::JoinReply&)> respond)
+    {
+        runtime.view([respond = std::move(respond)](const control::ControlReducer& reducer, TimePoint now) {
+            const control::ReplicaStatus status = reducer.status(now);
+            control::JoinReply reply;
+            if (status.membersRecorded) {
+                reply.leader = status.leader;
+                reply.members.assign(status.voters.begin(), status.voters.end());
+                reply.members.insert(reply.members.end(), status.learners.begin(), status.learners.end());
+            }
+            respond(reply);
+        });
     }
 
     void updateMetrics(const control::ReplicaStatus& status)
@@ -384,6 +418,8 @@
     control::ServerListSchedule listSchedule;
     // True if the last fetch of the list was started because no leader was known.
     bool fetchesWithoutLeader = false;
+    // Members that other instances named while this one is no member or knows no leader.
+    control::MemberDirectory directory;
     TimePoint lastJoin;
     TimePoint lastLeave;
     // Members that wait to hear whether they have left the group.
--- a/main/group_links.cpp
+++ b/main/group_links.cpp
@@ -27,6 +27,10 @@
     constexpr std::chrono::milliseconds kMaximumBackoff { 100 };
     // The clients of all members that were ever seen are kept, up to this number.
     constexpr std::size_t kMaximumClients = 64;
+    // An instance of an earlier build does not reply, and reads no further once a connection has many requests without a reply. It is then
+    // asked for a reply only now and then.
+    constexpr unsigned kMaximumUnansweredJoins = 8;
+    constexpr unsigned kJoinProbeInterval = 32;
 
     std::uint16_t number(MessageType type)
     {
@@ -101,12 +105,26 @@
         client->send(number(MessageType::Replica), encode(transport::ReplicaMessage { m_self, control::encodePeerMessage(message) }));
 }
 
-void GroupLinks::sendJoin(const InstanceName& to)
+void GroupLinks::requestJoin(const InstanceName& to, Micros timeout, std::function<void(const control::JoinReply&)> callback)
 {
     const std::lock_guard lock(m_mutex);
     transport::FrameClient* client = to == m_self ? nullptr : clientFor(to);
-    if (client)
+    if (!client)
+        return;
+    const unsigned unanswered = m_unansweredJoins[to]++;
+    if (unanswered >= kMaximumUnansweredJoins && unanswered % kJoinProbeInterval != 0) {
         client->send(number(MessageType::JoinGroup), control::encodeJoin({ m_self }));
+        return;
+    }
+    client->request(number(MessageType::JoinGroup), control::encodeJoin({ m_self }), timeout, [this, to, callback = std::move(callback)](const transport::RequestResult& result) {
+        const std::optional<control::JoinReply> reply = result.status == transport::RequestStatus::Answered ? control::decodeJoinReply(result.body) : std::nullopt;
+        if (result.status != transport::RequestStatus::Unknown) {
+            const std::lock_guard lock(m_mutex);
+            m_unansweredJoins.erase(to);
+        }
+        if (reply)
+            callback(*reply);
+    });
 }
 
 void GroupLinks::requestLeave(const InstanceName& to, Micros timeout, std::function<void(control::LeaveOutcome)> callback)
@@ -153,7 +171,7 @@
         if (!join || join->name != frame.from || !transport::parseEndpoint(join->name))
             refuse(frame, "the join request is malformed");
         else if (m_handlers.join)
-            m_handlers.join(join->name);
+            m_handlers.join(join->name, respond ? [respond](const control::JoinReply& reply) { respond(control::encodeJoinReply(reply)); } : std::function<void(const control::JoinReply&)> {});
         return;
     }
     if (frame.type == number(MessageType::LeaveGroup) && respond) {
--- a/main/group_links.h
+++ b/main/group_links.h
@@ -24,7 +24,8 @@
 public:
     struct Handlers {
         std::function<void(const InstanceName& from, control::PeerMessage message)> peer;
-        std::function<void(const InstanceName& name)> join;
+        // The responder is empty if the sender expects no reply.
+        std::function<void(const InstanceName& name, std::function<void(const control::JoinReply& reply)> respond)> join;
         std::function<void(const InstanceName& name, std::function<void(control::LeaveOutcome)> respond)> leave;
         std::function<void(control::WatchRequest request, transport::FrameResponder respond)> watch;
         std::function<void(const control::DocumentPartRequest& request, transport::FrameResponder respond)> fetchDocument;
@@ -42,7 +43,8 @@
     void stop();
 
     void sendToPeer(const InstanceName& to, const control::PeerMessage& message);
-    void sendJoin(const InstanceName& to);
+    // Asks an instance to let this one join the group. The callback runs on the loop's thread, only if the instance replies in time.
+    void requestJoin(const InstanceName& to, Micros timeout, std::function<void(const control::JoinReply&)> callback);
     // Asks a member to let this instance leave the group. The callback runs on the loop's thread, only if the member replies in time.
     void requestLeave(const InstanceName& to, Micros timeout, std::function<void(control::LeaveOutcome)> callback);
     transport::EventLoop& loop() { return m_loop; }
@@ -60,6 +62,8 @@
     bool m_stopped = false;
     Handlers m_handlers;
     std::map<InstanceName, std::unique_ptr<transport::FrameClient>> m_clients;
+    // Number of requests to join in a row without a reply.
+    std::map<InstanceName, unsigned> m_unansweredJoins;
     std::unique_ptr<transport::FrameServer> m_server;
 };
 
--- a/tests/control/control_simulation.cpp
+++ b/tests/control/control_simulation.cpp
@@ -244,7 +244,7 @@
 void ControlSimulation::sendMessage(std::size_t from, const SendToPeer& message)
 {
     ++m_messages;
-    const std::size_t to = static_cast<std::size_t>(message.to[1] - '0');
+    const std::size_t to = replicaOf(message.to);
     if (m_cuts[{ from, to }] || to >= size())
         return;
     const std::string bytes = encodePeerMessage(message.message);
--- a/tests/control/control_simulation.h
+++ b/tests/control/control_simulation.h
@@ -61,6 +61,7 @@
 
     std::size_t size() const { return m_nodes.size(); }
     static std::string nameOf(std::size_t replica) { return std::string("r").append(std::to_string(replica)); }
+    static std::size_t replicaOf(const std::string& name) { return static_cast<std::size_t>(name[1] - '0'); }
     MemoryDisk& disk(std::size_t replica) { return m_nodes[replica].disk; }
     bool isUp(std::size_t replica) const { return m_nodes[replica].reducer != nullptr; }
     bool isFrozen(std::size_t replica) const { return m_nodes[replica].frozenUntil > m_now; }
--- a/tests/control/member_change_driver.cpp
+++ b/tests/control/member_change_driver.cpp
@@ -13,25 +13,59 @@
 MemberChangeDriver::MemberChangeDriver(ControlSimulation& simulation, std::size_t minimumVoters)
     : m_simulation(simulation)
     , m_planners(simulation.size(), MemberChangePlanner(minimumVoters))
+    , m_directories(simulation.size())
 {
+    for (std::size_t n = 0; n < simulation.size(); ++n)
+        m_seeds.insert(n);
 }
 
 void MemberChangeDriver::runPlanner()
 {
+    requestJoins();
     if (const std::optional<std::size_t> leader = m_simulation.leader(); leader && !m_simulation.isFrozen(*leader))
         proposeNextChange(*leader);
     m_simulation.after(kPlannerInterval, [this] { runPlanner(); });
 }
 
-void MemberChangeDriver::proposeNextChange(std::size_t leader)
+void MemberChangeDriver::requestJoins()
 {
-    const ReplicaStatus status = m_simulation.status(leader);
     for (std::size_t n = 0; n < m_simulation.size(); ++n) {
+        if (!m_simulation.isUp(n))
+            m_directories[n] = {};
+        if (!m_simulation.isUp(n) || m_simulation.isFrozen(n))
+            continue;
+        const ReplicaStatus status = m_simulation.status(n);
         const InstanceName name = ControlSimulation::nameOf(n);
-        const bool isMember = status.voters.contains(name) || status.learners.contains(name);
-        if (!isMember && m_simulation.isUp(n) && !m_simulation.isFrozen(n) && !m_simulation.isCut(n, leader))
-            m_planners[leader].recordJoinRequest(name, m_simulation.now());
+        if (status.leader && (status.voters.contains(name) || status.learners.contains(name))) {
+            m_directories[n].setMembers({});
+            continue;
+        }
+        std::set<InstanceName> targets = m_directories[n].all();
+        targets.insert(status.voters.begin(), status.voters.end());
+        for (const std::size_t seed : m_seeds)
+            targets.insert(ControlSimulation::nameOf(seed));
+        for (const InstanceName& target : targets)
+            requestJoin(n, target);
     }
+}
+
+void MemberChangeDriver::requestJoin(std::size_t replica, const InstanceName& target)
+{
+    const std::size_t to = ControlSimulation::replicaOf(target);
+    if (to == replica || !m_simulation.isUp(to) || m_simulation.isFrozen(to) || m_simulation.isCut(replica, to) || m_simulation.isCut(to, replica))
+        return;
+    const ReplicaStatus status = m_simulation.status(to);
+    m_planners[to].recordJoinRequest(ControlSimulation::nameOf(replica), m_simulation.now());
+    if (!status.membersRecorded)
+        return;
+    std::vector<InstanceName> names { status.voters.begin(), status.voters.end() };
+    names.insert(names.end(), status.learners.begin(), status.learners.end());
+    for (const InstanceName& name : m_directories[replica].addNamed(names))
+        requestJoin(replica, name);
+}
+
+void MemberChangeDriver::proposeNextChange(std::size_t leader)
+{
     const GroupStatus groupStatus = groupStatusAt(leader);
     if (const std::optional<ChangeMembers> change = m_planners[leader].nextChange(groupStatus, m_simulation.now()))
         m_simulation.submit(leader, *change, [](const CommandResult&) {});
--- a/tests/main/gateway_fixture.cpp
+++ b/tests/main/gateway_fixture.cpp
@@ -17,7 +17,7 @@
     for (const char* collection : { "shard0", "shard0", "shard1", "shard1", "orders", "orders" })
         servers.add(collection);
     // Ports are the same on all addresses.
-    const std::uint16_t base = stand_ins::findFreePorts({ "127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14", "127.0.0.21" });
+    const std::uint16_t base = stand_ins::findFreePorts({ "127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14", "127.0.0.15", "127.0.0.16", "127.0.0.21" });
     GroupConnection groupConnection;
     groupConnection.groupPort = base;
     groupConnection.linkKey = kKey;
--- a/transport/control_protocol.h
+++ b/transport/control_protocol.h
@@ -28,7 +28,8 @@
     ShipUsage = 5,
     // One way: an opaque message between usage ledgers.
     ExchangeHeads = 6,
-    // One way: control::JoinRequest of an instance that is not a member of the group or knows no leader.
+    // control::JoinRequest of an instance that is not a member of the group or knows no leader -> control::JoinReply. Instances of earlier
+    // builds send it one way and do not reply.
     JoinGroup = 7,
     // control::WatchRequest -> control::WatchReply.
     Watch = 8,
