Let a new leader introduce itself to seeds outside the group

cause: seeds that have lost their disks know only each other, and no member asks them anything change: a new leader asks the seeds that are no members, once in its term. An instance remembers who asked it to join, so that it asks back.

--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -112,6 +112,8 @@
         handlers.peer = [this](const InstanceName& from, control::PeerMessage message) { runtime.receive(from, std::move(message)); };
         handlers.join = [this](const InstanceName& name, std::function<void(const control::JoinReply&)> respond) {
             memberChangePlanner.recordJoinRequest(name, transport::monotonicNow());
+            // Also that of a leader, see introduceToSeeds().
+            directory.addNamed({ name });
             if (respond)
                 answerJoin(std::move(respond));
         };
@@ -185,6 +187,8 @@
         }
         if (!status.leaseValid)
             return;
+        if (std::exchange(introducedTerm, status.term) != status.term)
+            introduceToSeeds(status);
         answerLeaves(groupStatus);
         if (isMemberChangePending)
             return;
@@ -317,6 +321,16 @@
         });
     }
 
+    // Seeds that have lost their disks may be outside the group and know no member. A request of this one tells them whom to ask.
+    void introduceToSeeds(const control::ReplicaStatus& status)
+    {
+        for (const transport::Endpoint& seed : seeds) {
+            const InstanceName name = memberName(settings.groupConnection, seed);
+            if (!status.voters.contains(name) && !status.learners.contains(name))
+                links.requestJoin(name, kJoinInterval, [](const control::JoinReply&) {});
+        }
+    }
+
     void answerJoin(std::function<void(const control::JoinReply&)> respond)
     {
         runtime.view([respond = std::move(respond)](const control::ControlReducer& reducer, TimePoint now) {
@@ -420,6 +434,8 @@
     bool fetchesWithoutLeader = false;
     // Members that other instances named while this one is no member or knows no leader.
     control::MemberDirectory directory;
+    // Term in which this instance has last introduced itself as the leader.
+    control::Term introducedTerm = 0;
     TimePoint lastJoin;
     TimePoint lastLeave;
     // Members that wait to hear whether they have left the group.
--- a/tests/main/outside_the_group_test.cpp
+++ b/tests/main/outside_the_group_test.cpp
@@ -79,4 +79,19 @@
     BOOST_TEST(system.findsLeader(0));
 }
 
+// All seeds have lost their disks, as in a group of an earlier build. Guards against seeds that stay outside the group for good because none
+// of them knows a member.
+BOOST_AUTO_TEST_CASE(EmptySeedsJoinAfterAnElection)
+{
+    LargerGroup system;
+    for (const std::size_t n : { 0, 1, 2 })
+        system.startEmpty(n);
+    std::size_t leader = 3;
+    while (leader < 5 && system.statusAt(leader) != "200")
+        ++leader;
+    system.coordinators[leader].reset();
+    for (const std::size_t n : { 0, 1, 2 })
+        BOOST_TEST(system.findsLeader(n));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
