--- a/control/member_directory.cpp
+++ b/control/member_directory.cpp
@@ -31,4 +31,13 @@
     return names;
 }
 
+std::vector<InstanceName> recordedMembers(const ReplicaStatus& status)
+{
+    if (!status.membersRecorded)
+        return {};
+    std::vector<InstanceName> names { status.voters.begin(), status.voters.end() };
+    names.insert(names.end(), status.learners.begin(), status.learners.end());
+    return names;
+}
+
 } // namespace curranttrail::control
--- a/control/member_directory.h
+++ b/control/member_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/messages.h"
 #include "core/ids.h"
 
 #include <set>
@@ -23,4 +24,7 @@
     std::set<InstanceName> m_named;
 };
 
+// Returns the voters and learners that a replica may name to others: none if it holds no log of the group.
+std::vector<InstanceName> recordedMembers(const ReplicaStatus& status);
+
 } // namespace curranttrail::control
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -1,7 +1,6 @@
 #include "main/coordinator_daemon.h"
 
 #include "control/member_change_planner.h"
-#include "control/member_directory.h"
 #include "control/server_list_schedule.h"
 #include "control/state_machine.h"
 #include "core/random.h"
@@ -14,6 +13,7 @@
 #include "main/feed_events.h"
 #include "main/feed_publisher.h"
 #include "main/group_links.h"
+#include "main/group_search.h"
 #include "main/quota_publisher.h"
 #include "main/server_list_poller.h"
 #include "main/settings_change.h"
@@ -34,7 +34,6 @@
 namespace {
     // Interval of the checks of the group's members, of pending watch requests and for a missing leader.
     constexpr Micros kTickInterval { 100'000 };
-    constexpr Micros kJoinInterval { 1'000'000 };
     // Times for a group that spans data centres and runs on small shares of a processor.
     constexpr Micros kHeartbeatInterval { 100'000 };
     constexpr Micros kMinimumElectionTimeout { 500'000 };
@@ -59,6 +58,7 @@
         , links(self, settings.group, settings.groupConnection.linkKey, sink)
         , runtime(reducerOptions(settings), settings.dataFolder, sink,
               [this](const InstanceName& to, const control::PeerMessage& message) { links.sendToPeer(to, message); })
+        , search(self, settings.groupConnection, links, runtime, sink)
         , memberChangePlanner(std::max<std::size_t>(kMinimumVoters, static_cast<std::size_t>(2 * settings.toleratedDiskLosses + 1)))
         , publisher(links.loop(), runtime, sink, [this] { return quotaPublisher.limited(); })
         , quotaPublisher(links.loop(), runtime, sink, [this] { publisher.limitsChanged(); })
@@ -67,7 +67,6 @@
         , api(runtime, sink, settings.http.port)
         , evacuationApi(runtime, links.loop(), publisher, sink, settings.http.port)
         , crashApi(runtime, links.loop(), publisher, sink, settings.http.port)
-        , seeds(settings.groupConnection.seeds)
         , serverList(settings.serverList)
         , listCallsPerSecond(settings.listCallsPerSecond)
     {
@@ -112,10 +111,7 @@
         handlers.peer = [this](const InstanceName& from, control::PeerMessage message) { runtime.receive(from, std::move(message)); };
         handlers.join = [this](const InstanceName& name, std::function<void(const control::JoinReply&)> respond) {
             memberChangePlanner.recordJoinRequest(name, transport::monotonicNow());
-            // Also that of a leader, see introduceToSeeds().
-            directory.addNamed({ name });
-            if (respond)
-                answerJoin(std::move(respond));
+            search.takeRequest(name, std::move(respond));
         };
         handlers.leave = [this](const InstanceName& name, std::function<void(control::LeaveOutcome)> respond) {
             memberChangePlanner.recordLeaveRequest(name, transport::monotonicNow());
@@ -178,17 +174,12 @@
             pendingLeaves.clear();
             if (isLeaving())
                 return;
-            const bool isMember = status.leader && (status.voters.contains(self) || status.learners.contains(self));
-            if (isMember)
-                directory.setMembers({});
-            if (!isMember && now - lastJoin >= kJoinInterval)
-                join(status, now);
+            search.update(status, now);
             return;
         }
         if (!status.leaseValid)
             return;
-        if (std::exchange(introducedTerm, status.term) != status.term)
-            introduceToSeeds(status);
+        search.introduceToSeeds(status);
         answerLeaves(groupStatus);
         if (isMemberChangePending)
             return;
@@ -207,7 +198,7 @@
 
     void fetchServers(const control::ReplicaStatus& status, TimePoint now)
     {
-        const std::size_t sharers = std::max(status.voters.size() + status.learners.size(), seeds.size());
+        const std::size_t sharers = std::max(status.voters.size() + status.learners.size(), search.seedCount());
         const std::optional<control::ServerListSchedule::Fetch> fetch = listSchedule.next(status, sharers, now);
         if (!fetch)
             return;
@@ -297,54 +288,6 @@
         });
     }
 
-    void join(const control::ReplicaStatus& status, TimePoint now)
-    {
-        lastJoin = now;
-        std::set<InstanceName> targets = directory.all();
-        targets.insert(status.voters.begin(), status.voters.end());
-        for (const transport::Endpoint& seed : seeds)
-            targets.insert(memberName(settings.groupConnection, seed));
-        sink.log(events::kJoinRequested, { { "targets", fmt::format("{}", fmt::join(targets, ",")) }, { "term", fmt::to_string(status.term) } });
-        for (const InstanceName& target : targets)
-            requestJoin(target);
-    }
-
-    // Only the leader admits an instance, and it need not be among the seeds. The members that a reply names are asked at once.
-    void requestJoin(const InstanceName& target)
-    {
-        links.requestJoin(target, kJoinInterval, [this](const control::JoinReply& reply) {
-            std::vector<InstanceName> names = reply.members;
-            if (reply.leader)
-                names.push_back(*reply.leader);
-            for (const InstanceName& name : directory.addNamed(names))
-                requestJoin(name);
-        });
-    }
-
-    // Seeds that have lost their disks may be outside the group and know no member. A request of this one tells them whom to ask.
-    void introduceToSeeds(const control::ReplicaStatus& status)
-    {
-        for (const transport::Endpoint& seed : seeds) {
-            const InstanceName name = memberName(settings.groupConnection, seed);
-            if (!status.voters.contains(name) && !status.learners.contains(name))
-                links.requestJoin(name, kJoinInterval, [](const control::JoinReply&) {});
-        }
-    }
-
-    void answerJoin(std::function<void(const control::JoinReply&)> respond)
-    {
-        runtime.view([respond = std::move(respond)](const control::ControlReducer& reducer, TimePoint now) {
-            const control::ReplicaStatus status = reducer.status(now);
-            control::JoinReply reply;
-            if (status.membersRecorded) {
-                reply.leader = status.leader;
-                reply.members.assign(status.voters.begin(), status.voters.end());
-                reply.members.insert(reply.members.end(), status.learners.begin(), status.learners.end());
-            }
-            respond(reply);
-        });
-    }
-
     void updateMetrics(const control::ReplicaStatus& status)
     {
         metrics.gauge("curranttrail_control_term", "Term of this replica.").set(static_cast<double>(status.term));
@@ -372,7 +315,7 @@
                                    },
             sink);
         links.loop().post([this, changed] {
-            seeds = changed.groupConnection.seeds;
+            search.setSeeds(changed.groupConnection.seeds);
             if (changed.serverList == serverList && changed.listCallsPerSecond == listCallsPerSecond)
                 return;
             sink.log(events::kServerListMoved, { { "from", serverList.text() }, { "to", changed.serverList.text() }, { "calls_per_second", fmt::to_string(changed.listCallsPerSecond) } });
@@ -417,6 +360,7 @@
     GroupLinks links;
     ControlRuntime runtime;
     // Used only on the event loop's thread.
+    GroupSearch search;
     control::MemberChangePlanner memberChangePlanner;
     FeedPublisher publisher;
     QuotaPublisher quotaPublisher;
@@ -426,17 +370,11 @@
     EvacuationApi evacuationApi;
     CrashApi crashApi;
     // Settings that may change while the process runs.
-    std::vector<transport::Endpoint> seeds;
     transport::Endpoint serverList;
     double listCallsPerSecond = 0;
     control::ServerListSchedule listSchedule;
     // True if the last fetch of the list was started because no leader was known.
     bool fetchesWithoutLeader = false;
-    // Members that other instances named while this one is no member or knows no leader.
-    control::MemberDirectory directory;
-    // Term in which this instance has last introduced itself as the leader.
-    control::Term introducedTerm = 0;
-    TimePoint lastJoin;
     TimePoint lastLeave;
     // Members that wait to hear whether they have left the group.
     std::map<InstanceName, std::function<void(control::LeaveOutcome)>> pendingLeaves;
--- a/main/feed_publisher.cpp
+++ b/main/feed_publisher.cpp
@@ -1,5 +1,6 @@
 #include "main/feed_publisher.h"
 
+#include "control/member_directory.h"
 #include "core/random.h"
 #include "main/feed_events.h"
 
@@ -70,10 +71,7 @@
     control::WatchReply reply;
     reply.leads = status.role == control::Role::Leader && status.leaseValid;
     reply.leader = status.leader;
-    if (status.membersRecorded) {
-        reply.members.assign(status.voters.begin(), status.voters.end());
-        reply.members.insert(reply.members.end(), status.learners.begin(), status.learners.end());
-    }
+    reply.members = control::recordedMembers(status);
     updateEntryInstances(now);
     reply.entryListVersion = m_entryListVersion;
     control::ListVersion heldEntryList = pending.request.entryListVersion;
--- a/tests/control/member_change_driver.cpp
+++ b/tests/control/member_change_driver.cpp
@@ -37,7 +37,7 @@
         const ReplicaStatus status = m_simulation.status(n);
         const InstanceName name = ControlSimulation::nameOf(n);
         if (status.leader && (status.voters.contains(name) || status.learners.contains(name))) {
-            m_directories[n].setMembers({});
+            m_directories[n] = {};
             continue;
         }
         std::set<InstanceName> targets = m_directories[n].all();
@@ -56,11 +56,7 @@
         return;
     const ReplicaStatus status = m_simulation.status(to);
     m_planners[to].recordJoinRequest(ControlSimulation::nameOf(replica), m_simulation.now());
-    if (!status.membersRecorded)
-        return;
-    std::vector<InstanceName> names { status.voters.begin(), status.voters.end() };
-    names.insert(names.end(), status.learners.begin(), status.learners.end());
-    for (const InstanceName& name : m_directories[replica].addNamed(names))
+    for (const InstanceName& name : m_directories[replica].addNamed(recordedMembers(status)))
         requestJoin(replica, name);
 }
 
