Let a leaving leader show that its removal is committed

cause: a leader that commits its own removal stepped down before it proposed the entry that shows this.

--- a/control/control_leader.cpp
+++ b/control/control_leader.cpp
@@ -95,6 +95,8 @@
 {
     if (m_commitIndex < m_termStartIndex || m_log.membersIndex() > m_commitIndex)
         return refusal(CommandStatus::RepairPending, "the previous change of members is not committed");
+    if (!isVoter())
+        return refusal(CommandStatus::RepairPending, "the leader is leaving the group");
     const Members after { change.voters, change.learners };
     const std::set<InstanceName> changed = changedMembers(members(), after);
     if (changed.size() > 1)
@@ -348,13 +350,15 @@
         if (progress.repairId != 0 && m_commitIndex >= progress.repairIndex)
             progress.repairAnnounced = true;
     }
-    if (!isVoter() && m_log.membersIndex() <= m_commitIndex)
+    // Otherwise the others would still need votes of the voters before the removal, to which this replica belongs.
+    if (!isVoter() && m_log.membersIndex() <= m_commitIndex && m_log.showsVotersCommitted(m_commitIndex))
         stepDown("this replica is no longer a voter");
 }
 
+// A replica whose removal is committed holds no lease, since the others do not ask it any more whether it leads.
 bool ControlReducer::leaseValidAt(TimePoint time) const
 {
-    return m_role == Role::Leader && m_commitIndex >= m_termStartIndex && time < leaseEnd();
+    return m_role == Role::Leader && mayLead() && m_commitIndex >= m_termStartIndex && time < leaseEnd();
 }
 
 void ControlReducer::checkLease()
--- a/control/control_reducer.h
+++ b/control/control_reducer.h
@@ -75,8 +75,8 @@
     std::vector<MemberHealth> memberHealth(TimePoint now) const;
     // True if a log entry or a snapshot contains the members, so that a replica configured with other seeds learns them.
     bool membersRecorded() const { return m_log.membersIndex() > 0 || m_log.baseIndex() > 0; }
-    // True at a leader whose members are committed.
-    bool membersCommitted() const { return m_role == Role::Leader && m_commitIndex >= m_termStartIndex && m_log.membersIndex() <= m_commitIndex; }
+    // True at a leader whose members are committed, and a majority of them can see it.
+    bool membersCommitted() const { return m_role == Role::Leader && m_commitIndex >= m_termStartIndex && m_log.membersIndex() <= m_commitIndex && m_log.showsVotersCommitted(m_commitIndex); }
     // Returns the state up to this replica's commit index.
     const MachineState& state() const { return m_stateMachine.state(); }
 
--- a/control/replicated_log.cpp
+++ b/control/replicated_log.cpp
@@ -58,6 +58,16 @@
     return it == m_history.rend() ? nullptr : &*it;
 }
 
+bool ReplicatedLog::showsVotersCommitted(LogIndex commitIndex) const
+{
+    if (uncommittedPredecessor(0))
+        return false;
+    const MembersAt& current = m_history.back();
+    const auto isCommitted = [commitIndex](LogIndex index) { return index != 0 && index <= commitIndex; };
+    const bool hasProof = current.committedBy != 0 || current.confirmedBy != 0;
+    return !hasProof || isCommitted(current.committedBy) || isCommitted(current.confirmedBy);
+}
+
 std::optional<Term> ReplicatedLog::termAt(LogIndex index) const
 {
     if (index == m_baseIndex)
--- a/control/replicated_log.h
+++ b/control/replicated_log.h
@@ -58,6 +58,8 @@
     // Returns the members before the last change of voters if neither the commit index nor the log shows that the change is committed, and
     // nullptr otherwise. Earlier changes are committed, since a leader proposes one only after the one before.
     const MembersAt* uncommittedPredecessor(LogIndex commitIndex) const;
+    // True if an entry up to the commit index shows that the current voters are committed, so that a majority of them can see it.
+    bool showsVotersCommitted(LogIndex commitIndex) const;
 
 private:
     LogIndex m_baseIndex = 0;
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -213,9 +213,8 @@
         isMemberChangePending = false;
         if (!isAccepted)
             return;
-        if (removesSelf)
-            endLeaving(control::LeaveOutcome::Left);
-        else if (!pendingLeaves.empty())
+        isRemoved = isRemoved || removesSelf;
+        if (isRemoved || !pendingLeaves.empty())
             checkGroup();
     }
 
@@ -250,6 +249,12 @@
 
     void continueLeaving(const control::ReplicaStatus& status, TimePoint now)
     {
+        // The leader goes on until the others can see that its removal is committed.
+        if (isRemoved) {
+            if (status.role != control::Role::Leader)
+                endLeaving(control::LeaveOutcome::Left);
+            return;
+        }
         if (status.role == control::Role::Leader) {
             memberChangePlanner.recordLeaveRequest(self, now);
             pendingLeaves[self] = [this](control::LeaveOutcome outcome) { endLeaving(outcome); };
@@ -381,6 +386,8 @@
     // Set while this instance leaves the group.
     std::function<void()> leaveEnded;
     bool isMemberChangePending = false;
+    // True once this instance, as the leader, has committed its own removal.
+    bool isRemoved = false;
     transport::HttpRouter router;
     transport::HttpRouter healthRouter;
     std::optional<transport::HttpServer> server;
--- a/tests/control/replacement_test.cpp
+++ b/tests/control/replacement_test.cpp
@@ -36,9 +36,15 @@
             startSuccessor();
     }
 
-    // Replaces the leader or another replica by plan, and lets another lose its disk at a moment after the request to stop. Returns the
-    // first failure, or an empty string.
-    std::string loseDiskAfterStop(bool replacesLeader, std::size_t victim, Micros moment)
+    enum class Loss {
+        Disk,
+        // The replica does not return.
+        Replica,
+    };
+
+    // Replaces the leader or another replica by plan, and loses another one at a moment after the request to stop. Returns the first
+    // failure, or an empty string.
+    std::string loseAfterStop(Loss loss, bool replacesLeader, std::size_t victim, Micros moment)
     {
         if (!m_simulation.runUntil([&] { return m_members.isComplete(); }, 20 * kSecond))
             return "not all replicas became voters " + m_simulation.violation();
@@ -54,11 +60,13 @@
         end(replaced);
         auto it = m_running.begin();
         std::advance(it, static_cast<std::ptrdiff_t>(victim));
-        const std::size_t wiped = *it;
-        m_simulation.crash(wiped, true);
-        m_simulation.disk(wiped).erase();
-        m_simulation.runFor(kSecond);
-        m_simulation.restart(wiped);
+        const std::size_t lost = *it;
+        m_simulation.crash(lost, true);
+        if (loss == Loss::Disk) {
+            m_simulation.disk(lost).erase();
+            m_simulation.runFor(kSecond);
+            m_simulation.restart(lost);
+        }
         if (!m_simulation.runUntil([&] { return m_simulation.leader() && workload.settled(); }, kRecoveryTime))
             return m_simulation.violation().empty() ? "no leader" : m_simulation.violation();
         workload.checkCommittedDocument(*m_simulation.leader());
@@ -204,25 +212,14 @@
     }
 }
 
-} // namespace
-
-BOOST_AUTO_TEST_SUITE(Replacements)
-
-// Guards against a group that can elect no leader any more because it still counts a replica that was replaced when another loses its disk.
-BOOST_AUTO_TEST_CASE(AGroupOfThreeSurvivesTheNextLoss) { runSeeds(40, 3, 1); }
-BOOST_AUTO_TEST_CASE(AGroupOfFourSurvivesTheNextLoss) { runSeeds(30, 4, 1); }
-BOOST_AUTO_TEST_CASE(AGroupOfSixSurvivesTheNextLoss) { runSeeds(15, 6, 2); }
-BOOST_AUTO_TEST_CASE(AGroupOfEightSurvivesTheNextLoss) { runSeeds(10, 8, 3); }
-
-// Guards against a state between the request to stop and the end of a replaced replica in which the next loss leaves no leader.
-BOOST_AUTO_TEST_CASE(EveryMomentOfAPlannedReplacementSurvivesALoss)
+void loseAtEveryMoment(ReplacementWorld::Loss loss)
 {
     for (const std::size_t voters : { 3, 4 }) {
         for (std::size_t victim = 0; victim < voters; ++victim) {
             for (int moment = 0; moment < 3'000; moment += moment < 500 ? 25 : 250) {
                 for (const bool replacesLeader : { false, true }) {
                     ReplacementWorld world(7, voters, 1);
-                    const std::string problem = world.loseDiskAfterStop(replacesLeader, victim, std::chrono::milliseconds { moment });
+                    const std::string problem = world.loseAfterStop(loss, replacesLeader, victim, std::chrono::milliseconds { moment });
                     BOOST_TEST(problem.empty(), voters << " voters, victim " << victim << ", " << moment << " ms, leader " << replacesLeader << ": " << problem);
                 }
             }
@@ -230,4 +227,20 @@
     }
 }
 
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Replacements)
+
+// Guards against a group that can elect no leader any more because it still counts a replica that was replaced when another loses its disk.
+BOOST_AUTO_TEST_CASE(AGroupOfThreeSurvivesTheNextLoss) { runSeeds(40, 3, 1); }
+BOOST_AUTO_TEST_CASE(AGroupOfFourSurvivesTheNextLoss) { runSeeds(30, 4, 1); }
+BOOST_AUTO_TEST_CASE(AGroupOfSixSurvivesTheNextLoss) { runSeeds(15, 6, 2); }
+BOOST_AUTO_TEST_CASE(AGroupOfEightSurvivesTheNextLoss) { runSeeds(10, 8, 3); }
+
+// Guards against a state between the request to stop and the end of a replaced replica in which the next loss leaves no leader.
+BOOST_AUTO_TEST_CASE(EveryMomentOfAPlannedReplacementSurvivesALostDisk) { loseAtEveryMoment(ReplacementWorld::Loss::Disk); }
+
+// Guards against a leader that leaves before the others can see that its removal is committed: they count it when the next one is lost.
+BOOST_AUTO_TEST_CASE(EveryMomentOfAPlannedReplacementSurvivesALostReplica) { loseAtEveryMoment(ReplacementWorld::Loss::Replica); }
+
 BOOST_AUTO_TEST_SUITE_END()
