--- a/review/support-3/early_answer.cpp
+++ b/review/support-3/early_answer.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int kServers = 7;
+constexpr int kServers = 8;
 constexpr int kRequests = 3;
 constexpr std::size_t kRequestBytes = 262'144;
 constexpr std::size_t kAnswerBytes = 24'000;
@@ -115,7 +115,7 @@
     system.setServers(listed);
     if (!system.startPlatform())
         return kCouldNotRun;
-    for (int i = 0; i < 3; ++i)
+    for (int i = 0; i < System::kCoordinators; ++i)
         system.startCoordinator(i, true);
     system.startGateway(0);
     const std::string document = R"({"version":7,"routes":[{"name":"r-upload","host":"example.test","pathPrefix":"/upload/","kind":"unsafe","timeoutMs":4000,"sloMs":1000,"priority":1,"service":"uploads","maxAttempts":2}],"services":[{"name":"uploads","healthPath":"/health","maxConns":26,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
@@ -145,7 +145,7 @@
                         if (!(halves[k].revents & POLLIN) || read(halves[k].fd, &byte, 1) != 1)
                             continue;
                         record("server %zu has sent the header and %zu of %zu bytes of its answer", k, whole.size() / 2, whole.size());
-                        // One crash: a seventh of the servers.
+                        // One crash: an eighth of the servers.
                         if (!trouble || i > 0)
                             continue;
                         pause(150);
--- a/review/support-3/own_503.cpp
+++ b/review/support-3/own_503.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr int kServers = 7;
+constexpr int kServers = 8;
 constexpr int kRequests = 70;
 
 std::mutex g_runsMutex;
@@ -62,7 +62,7 @@
     system.setServers(listed);
     if (!system.startPlatform())
         return kCouldNotRun;
-    for (int i = 0; i < 3; ++i)
+    for (int i = 0; i < System::kCoordinators; ++i)
         system.startCoordinator(i, true);
     system.startGateway(0);
     const std::string document = R"({"version":7,"routes":[{"name":"r-order","host":"example.test","pathPrefix":"/order/","kind":"unsafe","timeoutMs":4000,"sloMs":1000,"priority":1,"service":"orders","maxAttempts":2}],"services":[{"name":"orders","healthPath":"/health","maxConns":26,"protocol":"h1","tls":false}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
--- a/review/support-3/system.h
+++ b/review/support-3/system.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Starts a small deployment of the project's own programs on loopback addresses: three coordinators, a platform that serves the
+// Starts a small deployment of the project's own programs on loopback addresses: four coordinators, a platform that serves the
 // server list, and gateways. Header only, POSIX only, so that a case needs no library.
 
 #include <arpa/inet.h>
@@ -351,21 +351,24 @@
     std::string state = "ready";
 };
 
-// Three coordinators, the platform's list, and gateways.
+// Four coordinators, three of them seeds, the platform's list, and gateways. The bounds are those of nbw-search.
 class System {
 public:
+    static constexpr int kCoordinators = 4;
+    static constexpr std::size_t kSeeds = 3;
+
     explicit System(int gateways)
     {
         char folderName[] = "/tmp/curranttrail-review-XXXXXX";
         m_folder = mkdtemp(folderName);
-        for (int i = 0; i < 3; ++i)
+        for (int i = 0; i < kCoordinators; ++i)
             m_coordinatorAddresses.push_back("127.0.1." + std::to_string(11 + i));
         for (int i = 0; i < gateways; ++i)
             m_gatewayAddresses.push_back("127.0.1." + std::to_string(21 + i));
         std::vector<std::string> all = m_coordinatorAddresses;
         all.insert(all.end(), m_gatewayAddresses.begin(), m_gatewayAddresses.end());
         m_port = freePorts(all, 6);
-        m_coordinators.resize(3);
+        m_coordinators.resize(kCoordinators);
         m_gateways.resize(static_cast<std::size_t>(gateways));
     }
 
@@ -421,7 +424,7 @@
     {
         const long end = elapsed() + limit;
         for (int i = 0; elapsed() < end; ++i) {
-            const Message answer = control("PUT", i % 3, document);
+            const Message answer = control("PUT", i % kCoordinators, document);
             if (answer.status == 200)
                 return true;
             pause(200);
@@ -469,8 +472,8 @@
                 text.replace(at, tag.size(), value);
         };
         std::string seeds;
-        for (const std::string& seed : m_coordinatorAddresses)
-            seeds += (seeds.empty() ? "\"" : ",\"") + seed + ":" + std::to_string(controlPort()) + "\"";
+        for (std::size_t i = 0; i < kSeeds; ++i)
+            seeds += (seeds.empty() ? "\"" : ",\"") + m_coordinatorAddresses[i] + ":" + std::to_string(controlPort()) + "\"";
         const std::string dataFolder = m_folder + "/data-" + name;
         const std::string command = "mkdir -p '" + dataFolder + "'";
         if (std::system(command.c_str()) != 0)
@@ -478,7 +481,7 @@
         put("{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", seeds);
         put("{{#bounds.strictRevoke}}\n\n[accounts]\nrevocation_limit = \"{{bounds.revokeMs}}ms\"\n{{/bounds.strictRevoke}}\n", "");
         put("{{nodeName}}", name);
-        put("{{zone}}", "zone-" + std::to_string(number % 3 + 1));
+        put("{{zone}}", "zone-" + std::to_string(number % 4 + 1));
         put("{{dataDir}}", dataFolder);
         put("{{listen.control}}", address + ":" + std::to_string(controlPort()));
         put("{{listen.front}}", address + ":" + std::to_string(frontPort()));
