Take no answer for whole whose connection a failed write has ended

A server answered a long request before it had read it, without a length, and was killed in the middle of the answer. A live server that resets the connection had the same effect, and so had one that neither read nor sent for three seconds.

cause: a socket hands a pending error to the first call that asks for it; later reads return an end of stream. While the rest of the request waited for room, Asio ran the write before the read. The client waits for room and reads what has arrived before it writes, so that an end in time is seen whatever the system reports. The fixture of the client's tests moved to a header of its own.

--- a/tests/stand_ins/raw_client.cpp
+++ b/tests/stand_ins/raw_client.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -135,6 +136,11 @@
     m_socket = -1;
 }
 
+void RawClient::shutDown()
+{
+    ::shutdown(m_socket, SHUT_WR);
+}
+
 RawServer::RawServer()
     : m_socket(::socket(AF_INET, SOCK_STREAM, 0))
 {
@@ -153,6 +159,14 @@
     close();
 }
 
+void RawServer::limitWindow()
+{
+    const int segmentBytes = 1'460;
+    const int windowBytes = 16'384;
+    ::setsockopt(m_socket, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof segmentBytes);
+    ::setsockopt(m_socket, SOL_SOCKET, SO_RCVBUF, &windowBytes, sizeof windowBytes);
+}
+
 RawClient RawServer::accept()
 {
     pollfd entry { m_socket, POLLIN, 0 };
--- a/tests/stand_ins/raw_client.h
+++ b/tests/stand_ins/raw_client.h
@@ -28,8 +28,10 @@
     std::string readMessage(int milliseconds);
     // Returns true if the server closes the connection within the time. Received bytes are discarded.
     bool isClosedWithin(int milliseconds);
-    // Closes the connection with FIN, or with RST if `reset` is set.
+    // Closes the connection with FIN, or with RST if `reset` is set. Unread bytes reset it in any case.
     void close(bool reset = false);
+    // Sends FIN. The connection still receives.
+    void shutDown();
 
 private:
     RawClient() = default;
@@ -46,6 +48,9 @@
     RawServer(const RawServer&) = delete;
     RawServer& operator=(const RawServer&) = delete;
 
+    // Gives later connections the segments and the window of a network link, so that a long request does not fit into the buffers of a
+    // server that does not read.
+    void limitWindow();
     std::uint16_t port() const { return m_port; }
     RawClient accept();
     // Stops listening, so that further connections are refused.
--- a/tests/transport/raw_http_client_test.cpp
+++ b/tests/transport/raw_http_client_test.cpp
@@ -1,25 +1,16 @@
-#include "tests/stand_ins/raw_client.h"
-#include "transport/raw_http_client.h"
-
-#include <boost/asio/io_context.hpp>
-#include <boost/test/unit_test.hpp>
+#include "tests/transport/raw_http_client_fixture.h"
 
 #include <atomic>
 #include <chrono>
-#include <map>
-#include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
 using namespace curranttrail;
 using namespace curranttrail::transport;
-using stand_ins::RawClient;
-using stand_ins::RawServer;
 
 namespace {
 
-constexpr std::chrono::seconds kTestTimeout { 30 };
 // The memory that an instance may use for incomplete replies, whatever its servers send.
 constexpr std::size_t kReplyMemoryBytes = 64u << 20;
 
@@ -28,47 +19,7 @@
     return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// A client whose requests are "GET /ID" and whose replies name their request in the field Id.
-struct Fixture {
-    Fixture()
-    {
-        RawHttpClient::Handlers handlers;
-        handlers.opened = [this](ConnectionId connection) { opened[connection.value] = true; };
-        handlers.disconnected = [this](ConnectionId connection, const std::string& reason) { lost[connection.value] = reason; };
-        handlers.belongsToRequest = [this](ConnectionId connection, const RawReply& reply) { return findField(reply.fields, "Id") == requestIds[connection.value]; };
-        handlers.replied = [this](ConnectionId connection, const RawReply& reply, bool closing) {
-            replies[connection.value].push_back(reply.body);
-            closed[connection.value] = closing;
-        };
-        handlers.requestFailed = [this](ConnectionId connection, const std::string& reason) { failures[connection.value] = reason; };
-        client = std::make_unique<RawHttpClient>(context, std::move(handlers));
-    }
-
-    template <typename Condition>
-    bool runUntil(Condition condition, std::chrono::milliseconds limit = kTestTimeout)
-    {
-        const std::chrono::steady_clock::time_point deadline = std::chrono::steady_clock::now() + limit;
-        while (!condition() && std::chrono::steady_clock::now() < deadline) {
-            context.restart();
-            context.run_one_for(std::chrono::milliseconds { 20 });
-        }
-        return condition();
-    }
-
-    RawClient open(std::uint64_t connection)
-    {
-        client->open({ connection }, "127.0.0.1:" + std::to_string(server.port()));
-        RawClient peer = server.accept();
-        BOOST_TEST_REQUIRE(runUntil([&] { return opened[connection]; }));
-        return peer;
-    }
-
-    void send(std::uint64_t connection, const std::string& id)
-    {
-        requestIds[connection] = id;
-        client->send({ connection }, "GET /" + id + " HTTP/1.1\r\n\r\n", true);
-    }
-
+struct Fixture : RawHttpClientFixture {
     // The server sends the start of a reply and then the same bytes again and again, up to the limit.
     bool failsWhileServerSends(const std::string& start, const std::string& repeated, std::size_t limit)
     {
@@ -86,16 +37,7 @@
         return failed;
     }
 
-    boost::asio::io_context context;
-    RawServer server;
-    std::map<std::uint64_t, bool> opened;
-    std::map<std::uint64_t, bool> closed;
-    std::map<std::uint64_t, std::string> lost;
-    std::map<std::uint64_t, std::string> requestIds;
-    std::map<std::uint64_t, std::string> failures;
-    std::map<std::uint64_t, std::vector<std::string>> replies;
     std::atomic<bool> stopSending { false };
-    std::unique_ptr<RawHttpClient> client;
 };
 
 } // namespace
--- a/transport/raw_http_client.cpp
+++ b/transport/raw_http_client.cpp
@@ -4,6 +4,7 @@
 #include "transport/relay_protocol.h"
 #include "transport/relay_records.h"
 #include "transport/socket_options.h"
+#include "transport/stream_end.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
@@ -121,23 +122,10 @@
         connection->expectsBody = expectsBody;
         connection->droppedReplies = 0;
         connection->output = std::move(text);
+        connection->bytesWritten = 0;
         prepareParser(*connection);
         // A request usually fits into the socket's send buffer. Writing it synchronously saves an iteration of the event loop.
-        error_code ec;
-        const std::size_t size = connection->socket.write_some(asio::buffer(connection->output), ec);
-        if (!ec && size == connection->output.size()) {
-            connection->writing = false;
-            connection->output.clear();
-            return;
-        }
-        connection->output.erase(0, ec ? 0 : size);
-        asio::async_write(connection->socket, asio::buffer(connection->output), [self = shared_from_this(), connection](const error_code& ec, std::size_t) {
-            connection->writing = false;
-            connection->output = {};
-            // While a read is pending, the read path reports the lost connection, because a reply may still be buffered.
-            if (ec && !connection->closed && !connection->waitingForBytes)
-                self->end(connection, ec.message());
-        });
+        write(connection);
     }
 
     void close(ConnectionId id)
@@ -151,6 +139,11 @@
 private:
     using Parser = http::response_parser<http::string_body>;
 
+    enum class ReadResult {
+        NothingArrived,
+        BytesOrEnd,
+    };
+
     struct Connection {
         Connection(asio::io_context& context, ConnectionId number)
             : socket(context)
@@ -163,7 +156,11 @@
         std::optional<Parser> parser;
         std::string unparsedBytes;
         std::string output;
+        // Bytes of the output that have been written.
+        std::size_t bytesWritten = 0;
+        StreamEnd streamEnd;
         bool busy = false;
+        // True until the request is completely written, also after a failed write.
         bool writing = false;
         bool expectsBody = true;
         bool waitingForBytes = false;
@@ -248,8 +245,39 @@
             connection.parser->skip(true);
     }
 
+    // Writes as much of the request as the socket takes, and the rest as room becomes free. After a failed write the read path decides on
+    // the request, because a reply may still be buffered.
+    void write(const std::shared_ptr<Connection>& connection)
+    {
+        error_code ec;
+        while (connection->bytesWritten < connection->output.size() && !ec)
+            connection->bytesWritten += connection->socket.write_some(asio::buffer(connection->output) + connection->bytesWritten, ec);
+        if (isWouldBlock(ec)) {
+            waitForRoom(connection);
+            return;
+        }
+        if (ec)
+            connection->streamEnd.recordWriteError(ec);
+        connection->writing = ec.failed();
+        connection->output = {};
+    }
+
+    void waitForRoom(const std::shared_ptr<Connection>& connection)
+    {
+        connection->socket.async_wait(Tcp::socket::wait_write, [self = shared_from_this(), connection](const error_code& ec) {
+            if (ec || connection->closed)
+                return;
+            if (self->read(connection) == ReadResult::NothingArrived)
+                self->write(connection);
+            else if (!connection->closed)
+                self->waitForRoom(connection);
+        });
+    }
+
     void waitForBytes(const std::shared_ptr<Connection>& connection)
     {
+        if (connection->waitingForBytes)
+            return;
         connection->waitingForBytes = true;
         connection->socket.async_wait(Tcp::socket::wait_read, [self = shared_from_this(), connection](const error_code& ec) {
             connection->waitingForBytes = false;
@@ -258,31 +286,36 @@
         });
     }
 
-    void read(const std::shared_ptr<Connection>& connection)
+    // Reads once what has arrived. The connection may be closed afterwards.
+    ReadResult read(const std::shared_ptr<Connection>& connection)
     {
         error_code ec;
         const std::size_t size = connection->socket.read_some(asio::buffer(m_readBuffer), ec);
-        if (ec == asio::error::would_block || ec == asio::error::try_again) {
+        if (isWouldBlock(ec)) {
             waitForBytes(connection);
-            return;
+            return ReadResult::NothingArrived;
         }
+        if (ec)
+            handleEndOfStream(connection, ec);
+        else if (takeBytes(connection, { m_readBuffer.data(), size })) {
+            waitForBytes(connection);
+            limitBufferedBytes();
+        }
+        return ReadResult::BytesOrEnd;
+    }
+
+    void handleEndOfStream(const std::shared_ptr<Connection>& connection, const error_code& readError)
+    {
+        const error_code cause = connection->streamEnd.causeOf(readError);
         // The end of a relayed connection says nothing of the server: it may be that of the relay's process.
-        if (ec == asio::error::eof && connection->isRelayed) {
+        if (cause == asio::error::eof && connection->isRelayed)
             end(connection, "the relay closed the connection");
-            return;
-        }
-        if (ec == asio::error::eof) {
-            handleEndOfStream(connection);
-            return;
-        }
-        if (ec) {
-            end(connection, ec.message());
-            return;
-        }
-        if (!takeBytes(connection, { m_readBuffer.data(), size }))
-            return;
-        waitForBytes(connection);
-        limitBufferedBytes();
+        else if (cause == asio::error::eof)
+            handleServerClosed(connection);
+        else if (connection->streamEnd.hasWriteError())
+            end(connection, "sending the request failed: " + cause.message());
+        else
+            end(connection, cause.message());
     }
 
     // Returns true if reading from the connection continues.
@@ -306,7 +339,7 @@
         if (!connection->records)
             return true;
         if (connection->records->hasServerClosed()) {
-            handleEndOfStream(connection);
+            handleServerClosed(connection);
             return false;
         }
         if (connection->records->takesNoMoreRequests() && !connection->busy) {
@@ -364,7 +397,8 @@
         return false;
     }
 
-    void handleEndOfStream(const std::shared_ptr<Connection>& connection)
+    // The server has closed the connection in order, which completes a reply without a length.
+    void handleServerClosed(const std::shared_ptr<Connection>& connection)
     {
         if (connection->busy && connection->parser->is_header_done() && connection->parser->need_eof()) {
             error_code ec;
--- a/transport/socket_options.cpp
+++ b/transport/socket_options.cpp
@@ -1,5 +1,7 @@
 #include "transport/socket_options.h"
 
+#include <boost/asio/error.hpp>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -13,6 +15,11 @@
     static_cast<void>(::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis));
 }
 
+bool isWouldBlock(const boost::system::error_code& ec)
+{
+    return ec == boost::asio::error::would_block || ec == boost::asio::error::try_again;
+}
+
 Micros smoothedRoundTrip(int socket)
 {
     tcp_info info {};
