Pass a whole answer on through a relay if its server resets afterwards

A server that answers a long request early, closes in order and then resets the connection, as it does if bytes of the request are left unread, lost its answer on the way through a relay: the caller got 502 for a request that had run and been answered.

cause: the relay writes the request and reads the answer at once. A failed write ended the session with a reset, whatever the answer had come to. Before each write the relay looks whether something of the answer is unread, and reads it first; after a failed write it drops the rest of the request and passes the answer on, to the end that StreamEnd names. After the server's own end the relay closes its half and leaves the rest to the instance for at most 1 s, since closing with unread bytes of the request would reset the instance's connection. measured: AnswerEnds/AnAnswerThroughARelayIsWholeOnlyIfItsEndArrived, 216 states: with the code of 4 of them failed (the whole answer with an orderly end and a reset right after it, where the event loop did not run in between), now 0.

--- a/transport/relay_server.cpp
+++ b/transport/relay_server.cpp
@@ -3,6 +3,7 @@
 #include "transport/relay_protocol.h"
 #include "transport/relay_records.h"
 #include "transport/socket_options.h"
+#include "transport/stream_end.h"
 
 #include <boost/asio.hpp>
 #include <fmt/format.h>
@@ -27,6 +28,9 @@
     // Time to receive the request and to connect to the server.
     constexpr std::chrono::milliseconds kOpenTimeout { 900 };
     constexpr std::chrono::milliseconds kUnacknowledgedTimeout { 3'000 };
+    // Time for which the rest of a request is read and dropped after the server has closed. Closing the connection with unread bytes would
+    // reset it, and the instance could lose the answer.
+    constexpr std::chrono::milliseconds kDiscardTimeout { 1'000 };
     constexpr unsigned kForbidden = 403;
     constexpr unsigned kUnavailable = 503;
 } // namespace
@@ -133,7 +137,12 @@
         // Bytes for the instance that are being written, and those that follow.
         std::string writing;
         std::string output;
+        bool isReadingFromInstance = false;
+        // Bytes of the instance that are still to be written to the server.
+        std::string_view request;
+        bool isWaitingForRoom = false;
         bool isReadingFromServer = false;
+        StreamEnd serverEnd;
         bool hasServerClosed = false;
         bool isClosed = false;
         bool sendsRecords = false;
@@ -172,6 +181,7 @@
     {
         error_code ignored;
         socket.set_option(Tcp::no_delay(true), ignored);
+        socket.non_blocking(true, ignored);
         setUnacknowledgedTimeout(socket.native_handle(), kUnacknowledgedTimeout);
     }
 
@@ -228,9 +238,17 @@
 
     void passRequests(const SessionPointer& session)
     {
+        if (std::exchange(session->isReadingFromInstance, true))
+            return;
         session->instance.async_read_some(asio::buffer(session->toServer), [self = shared_from_this(), session](const error_code& ec, std::size_t size) {
+            session->isReadingFromInstance = false;
             if (session->isClosed)
                 return;
+            // The server takes no more bytes, but the rest of its answer may still be passed on.
+            if (!ec && (session->hasServerClosed || session->serverEnd.hasWriteError())) {
+                self->passRequests(session);
+                return;
+            }
             // More bytes of a request that has begun are passed on.
             if (ec || (!session->awaitsAnswer && !self->mayRequest(*session))) {
                 self->end(session, ec != asio::error::eof);
@@ -238,17 +256,47 @@
             }
             session->wasUsed = true;
             session->awaitsAnswer = true;
-            asio::async_write(session->server, asio::buffer(session->toServer.data(), size), [self, session](const error_code& writeError, std::size_t) {
-                if (session->isClosed)
-                    return;
-                if (writeError)
-                    self->end(session, true);
-                else
-                    self->passRequests(session);
-            });
+            session->request = { session->toServer.data(), size };
+            self->waitForRoom(session);
+        });
+    }
+
+    void waitForRoom(const SessionPointer& session)
+    {
+        if (std::exchange(session->isWaitingForRoom, true))
+            return;
+        session->server.async_wait(Tcp::socket::wait_write, [self = shared_from_this(), session](const error_code& ec) {
+            session->isWaitingForRoom = false;
+            // What has arrived of the answer is read first: a failed write takes the error that tells a reset from the server's own end.
+            if (!session->isClosed && !ec && !hasUnreadAnswer(*session))
+                self->writeToServer(session);
         });
     }
 
+    void writeToServer(const SessionPointer& session)
+    {
+        error_code ec;
+        session->request.remove_prefix(session->server.write_some(asio::buffer(session->request), ec));
+        if (ec && !isWouldBlock(ec)) {
+            session->serverEnd.recordWriteError(ec);
+            session->request = {};
+        }
+        if (session->request.empty())
+            passRequests(session);
+        else
+            waitForRoom(session);
+    }
+
+    static bool hasUnreadAnswer(Session& session)
+    {
+        char byte = 0;
+        error_code ec;
+        session.server.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, ec);
+        if (ec && !isWouldBlock(ec) && ec != asio::error::eof)
+            session.serverEnd.recordWriteError(ec);
+        return !isWouldBlock(ec);
+    }
+
     void passAnswers(const SessionPointer& session)
     {
         session->isReadingFromServer = true;
@@ -256,12 +304,15 @@
             session->isReadingFromServer = false;
             if (session->isClosed)
                 return;
-            if (ec && ec != asio::error::eof) {
+            const error_code cause = session->serverEnd.causeOf(ec);
+            if (cause && cause != asio::error::eof) {
                 self->end(session, true);
                 return;
             }
-            session->hasServerClosed = ec == asio::error::eof;
+            session->hasServerClosed = cause == asio::error::eof;
             session->awaitsAnswer = false;
+            if (!session->request.empty() && !session->hasServerClosed)
+                self->waitForRoom(session);
             const std::string_view bytes { session->fromServer.data(), size };
             if (!session->sendsRecords)
                 self->sendToInstance(session, bytes);
@@ -290,12 +341,26 @@
             else if (!session->output.empty())
                 self->writeOutput(session);
             else if (session->hasServerClosed)
-                self->end(session, false);
+                self->finish(session);
             else if (!session->isReadingFromServer)
                 self->passAnswers(session);
         });
     }
 
+    // Leaves it to the instance to close the connection after the last answer.
+    void finish(const SessionPointer& session)
+    {
+        error_code ignored;
+        session->server.close(ignored);
+        session->instance.shutdown(Tcp::socket::shutdown_send, ignored);
+        session->timer.expires_after(kDiscardTimeout);
+        session->timer.async_wait([self = shared_from_this(), session](const error_code& ec) {
+            if (!ec)
+                self->end(session, false);
+        });
+        passRequests(session);
+    }
+
     void end(const SessionPointer& session, bool isReset)
     {
         session->close(isReset);
