Keep the request of a server that reads slowly

A server that took a long request and read the rest of it only after a few seconds lost its connection after three. An unsafe request ended with 502 while it was at work, well before its deadline.

cause: TCP_USER_TIMEOUT, meant for servers that cannot be reached, also closes a connection whose peer acknowledges every probe but keeps its window closed. weighed: a server whose machine answers is reachable, and its silence is no reason to end a request. Without the limit a cut during a long request is noticed later: the caller of an unsafe one is told at its deadline (504) instead of after three seconds (502), neither of which promises anything; a safe one is hedged as before. Telling the two apart by tcp_info was weighed: the probes back off, so that the time of the last acknowledgement says little. change: requests of more than 16 KiB, the smallest window of usual systems, are sent without the limit, by the client and by relays. The next request on the connection decides again. measured: AnswerEnds/AServerThatReadsSlowlyKeepsItsRequest, servers that read on after 4.5 s, with and without a relay: with the code of both requests failed, now both are served.

--- a/tests/transport/answer_end_test.cpp
+++ b/tests/transport/answer_end_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <thread>
 #include <vector>
 
 using namespace curranttrail;
@@ -153,6 +154,27 @@
     BOOST_TEST(checkAllEnds(&relay) == 216U);
 }
 
+// Guards against a request that is lost because its server, which runs, reads the rest of it only after a few seconds.
+BOOST_FIXTURE_TEST_CASE(AServerThatReadsSlowlyKeepsItsRequest, Fixture)
+{
+    const RelayServer relay(context, { "127.0.0.1", 0 }, kKey, [](const std::string&) { return true; });
+    std::vector<RawClient> peers;
+    peers.push_back(open(1));
+    peers.push_back(openThrough(relay, 2));
+    for (const std::uint64_t n : { 1, 2 })
+        sendLong(n, "a");
+    settle(std::chrono::milliseconds { 4'500 });
+    for (RawClient& peer : peers) {
+        std::thread reader([&] { BOOST_TEST(!peer.readMessage().empty()); });
+        settle(std::chrono::milliseconds { 500 });
+        peer.send(answerText(Form::WithLength));
+        reader.join();
+    }
+    BOOST_TEST(runUntil([&] { return hasEnded(1) && hasEnded(2); }));
+    BOOST_TEST(replies.contains(1), failures[1]);
+    BOOST_TEST(replies.contains(2), failures[2]);
+}
+
 // Guards against a system that reports a reset after the peer's orderly end like one before it. Reads come first, so this matters only
 // for an end that arrives between a read and the next write.
 BOOST_AUTO_TEST_CASE(AFailedWriteTellsAResetAfterAnOrderlyEnd)
--- a/transport/raw_http_client.cpp
+++ b/transport/raw_http_client.cpp
@@ -34,8 +34,6 @@
     constexpr std::size_t kMaximumBufferedBytes = 32u << 20;
     // Interim replies and replies to earlier requests that are dropped before the reply to one request.
     constexpr unsigned kMaximumDroppedReplies = 16;
-    // A connection is closed if sent bytes stay unacknowledged for this time, which detects unreachable servers.
-    constexpr std::chrono::milliseconds kUnacknowledgedTimeout { 3'000 };
 
     // The parser accepts any three digits.
     bool isHttpStatus(unsigned status)
@@ -123,6 +121,7 @@
         connection->droppedReplies = 0;
         connection->output = std::move(text);
         connection->bytesWritten = 0;
+        connection->unacknowledgedLimit.setRequestBytes(connection->socket.native_handle(), connection->output.size());
         prepareParser(*connection);
         // A request usually fits into the socket's send buffer. Writing it synchronously saves an iteration of the event loop.
         write(connection);
@@ -159,6 +158,7 @@
         // Bytes of the output that have been written.
         std::size_t bytesWritten = 0;
         StreamEnd streamEnd;
+        UnacknowledgedLimit unacknowledgedLimit;
         bool busy = false;
         // True until the request is completely written, also after a failed write.
         bool writing = false;
@@ -181,7 +181,7 @@
         error_code ignored;
         connection.socket.set_option(Tcp::no_delay(true), ignored);
         connection.socket.non_blocking(true, ignored);
-        setUnacknowledgedTimeout(connection.socket.native_handle(), kUnacknowledgedTimeout);
+        connection.unacknowledgedLimit.apply(connection.socket.native_handle());
     }
 
     void beginReading(const std::shared_ptr<Connection>& connection)
--- a/transport/relay_server.cpp
+++ b/transport/relay_server.cpp
@@ -27,7 +27,6 @@
     constexpr int kBacklog = 512;
     // Time to receive the request and to connect to the server.
     constexpr std::chrono::milliseconds kOpenTimeout { 900 };
-    constexpr std::chrono::milliseconds kUnacknowledgedTimeout { 3'000 };
     // Time for which the rest of a request is read and dropped after the server has closed. Closing the connection with unread bytes would
     // reset it, and the instance could lose the answer.
     constexpr std::chrono::milliseconds kDiscardTimeout { 1'000 };
@@ -140,6 +139,10 @@
         bool isReadingFromInstance = false;
         // Bytes of the instance that are still to be written to the server.
         std::string_view request;
+        // Bytes of the request that have arrived.
+        std::size_t requestBytes = 0;
+        UnacknowledgedLimit instanceLimit;
+        UnacknowledgedLimit serverLimit;
         bool isWaitingForRoom = false;
         bool isReadingFromServer = false;
         StreamEnd serverEnd;
@@ -166,7 +169,7 @@
             if (!ec)
                 self->end(session, true);
         });
-        prepare(session->instance);
+        prepare(session->instance, session->instanceLimit);
         asio::async_read_until(session->instance, asio::dynamic_buffer(session->head, kMaximumRelayHeadBytes), kRelayHeadEnd, [self = shared_from_this(), session](const error_code& ec, std::size_t size) {
             if (session->isClosed)
                 return;
@@ -177,12 +180,12 @@
         });
     }
 
-    static void prepare(Tcp::socket& socket)
+    static void prepare(Tcp::socket& socket, UnacknowledgedLimit& limit)
     {
         error_code ignored;
         socket.set_option(Tcp::no_delay(true), ignored);
         socket.non_blocking(true, ignored);
-        setUnacknowledgedTimeout(socket.native_handle(), kUnacknowledgedTimeout);
+        limit.apply(socket.native_handle());
     }
 
     void connect(const SessionPointer& session, std::size_t headSize)
@@ -208,7 +211,7 @@
                 self->refuse(session, kRelayServerUnreachable);
                 return;
             }
-            prepare(session->server);
+            prepare(session->server, session->serverLimit);
             session->address = address;
             self->answer(session, kRelayOpened, [self, session] {
                 session->timer.cancel();
@@ -255,7 +258,8 @@
                 return;
             }
             session->wasUsed = true;
-            session->awaitsAnswer = true;
+            session->requestBytes = size + (std::exchange(session->awaitsAnswer, true) ? session->requestBytes : 0);
+            session->serverLimit.setRequestBytes(session->server.native_handle(), session->requestBytes);
             session->request = { session->toServer.data(), size };
             self->waitForRoom(session);
         });
--- a/transport/socket_options.cpp
+++ b/transport/socket_options.cpp
@@ -6,11 +6,28 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <chrono>
+
 namespace curranttrail::transport {
 
-void setUnacknowledgedTimeout(int socket, std::chrono::milliseconds timeout)
+namespace {
+    constexpr std::chrono::milliseconds kUnacknowledgedTimeout { 3'000 };
+    // The smallest window of usual systems.
+    constexpr std::size_t kWindowBytes = 16'384;
+}
+
+void UnacknowledgedLimit::apply(int socket) { set(socket, true); }
+
+void UnacknowledgedLimit::setRequestBytes(int socket, std::size_t size)
+{
+    if (m_isLimited != (size <= kWindowBytes))
+        set(socket, !m_isLimited);
+}
+
+void UnacknowledgedLimit::set(int socket, bool isLimited)
 {
-    const unsigned millis = static_cast<unsigned>(timeout.count());
+    m_isLimited = isLimited;
+    const unsigned millis = isLimited ? static_cast<unsigned>(kUnacknowledgedTimeout.count()) : 0;
     // Errors are ignored because the option only detects lost connections sooner.
     static_cast<void>(::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &millis, sizeof millis));
 }
--- a/transport/socket_options.h
+++ b/transport/socket_options.h
@@ -4,12 +4,27 @@
 
 #include <boost/system/error_code.hpp>
 
-#include <chrono>
+#include <cstddef>
 
 namespace curranttrail::transport {
 
-// Sets the time after which a connection with unacknowledged sent bytes is closed. Systems without the option keep their default.
-void setUnacknowledgedTimeout(int socket, std::chrono::milliseconds timeout);
+// Closes a connection if sent bytes stay unacknowledged for a few seconds, which detects unreachable servers. Systems without the option
+// keep their default.
+//
+// The option also closes a connection whose peer acknowledges but keeps its window closed because it reads slowly. A request that may not
+// fit into the window is therefore limited by its deadline only.
+class UnacknowledgedLimit {
+public:
+    // Limits the connection.
+    void apply(int socket);
+    // Limits the connection unless the request that is being sent is long.
+    void setRequestBytes(int socket, std::size_t size);
+
+private:
+    void set(int socket, bool isLimited);
+
+    bool m_isLimited = false;
+};
 
 // Returns whether a call on a non-blocking socket failed only because it would have to wait.
 bool isWouldBlock(const boost::system::error_code& ec);
