Withhold a status that promises "not run" for an order that has run

One of eight servers failed two of five orders with a 503 of its own after it had run them. The gateway passed the 503 on with its stamp.

cause: four statuses state something to callers of the system that the same statuses of a server do not state to it. A reply without the header that says "not run" was rightly classified as a failure that may have run, and counted so in the verdict, but the answer took the server's status without looking at the verdict. weighed: "The server's status, body and stamp are returned unchanged" against the promise of the four statuses. Both hold if the stamp goes as well: a failure without it is one of ours, and 502 promises nothing. change: mayPassOn(): a failure with one of the four statuses is passed on only if the request may run again. Otherwise the caller gets 502 without stamp, body and Retry-After of the server. The statuses stand in core/not_run_status.h. request_refused has the field withheld_status, and attempt_failed the status of the reply.

--- a/main/gateway_daemon.cpp
+++ b/main/gateway_daemon.cpp
@@ -354,7 +354,7 @@
     {
         using routing::RefusalReason;
         if (effect.reason == RefusalReason::NoServer || effect.reason == RefusalReason::AttemptsFailed || effect.reason == RefusalReason::TimedOut)
-            recordRequestOutcome(false, effect.unanswered);
+            recordRequestOutcome(effect.withheldStatus.has_value(), effect.unanswered);
         const Refusal refusal = refusalOf(effect);
         RawReply reply;
         reply.status = refusal.status;
--- a/routing/messages.h
+++ b/routing/messages.h
@@ -329,6 +329,8 @@
     std::optional<Micros> retryAfter;
     // Number of attempts that were sent and not answered.
     std::size_t unanswered = 0;
+    // Status of a server's reply that is withheld because it promises that the request has not run.
+    std::optional<unsigned> withheldStatus {};
 };
 
 using Effect = std::variant<OpenConnection, CloseConnection, SendAttempt, AnswerReply, AnswerMerged, RefuseRequest, ReportQuotas, LogEvent>;
--- a/routing/router.h
+++ b/routing/router.h
@@ -429,6 +429,7 @@
 
     // router_requests.cpp: evaluation, answers and refusals of requests
     void evaluate(RequestKey key);
+    bool mayPassOn(const Request& request, const ServerReply& failure) const;
     void scheduleHedge(Request& request);
     TimePoint hedgeDueAt(const Request& request, const Attempt& attempt, Micros delay) const;
     void hedge(RequestKey key, Request& request);
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -251,7 +251,8 @@
     const bool notRun = kind == ReplyKind::NotExecuted || kind == ReplyKind::WrongInstance;
     if (kind == ReplyKind::Failure)
         request.failure = event.reply;
-    attemptFailed(attempt.request, attempt.part, &server, notRun ? AttemptProgress::RefusedBeforeWork : AttemptProgress::Replied, nameOf(kReplyKindNames, kind));
+    const std::string reason = fmt::format("{} (status {})", nameOf(kReplyKindNames, kind), event.reply.status);
+    attemptFailed(attempt.request, attempt.part, &server, notRun ? AttemptProgress::RefusedBeforeWork : AttemptProgress::Replied, reason);
 }
 
 void Router::on(const AttemptConnectionLost& event)
--- a/routing/router_requests.cpp
+++ b/routing/router_requests.cpp
@@ -1,5 +1,6 @@
 #include "routing/router.h"
 
+#include "core/not_run_status.h"
 #include "routing/events.h"
 
 #include <fmt/format.h>
@@ -53,6 +54,13 @@
     return parts > 0 && static_cast<double>(parts) >= scatter->minimumCoverage * static_cast<double>(request.parts.size()) - 1e-9;
 }
 
+// Returns whether the caller may get a server's error reply. The status of one that has run, and must not run again, may not promise
+// otherwise.
+bool Router::mayPassOn(const Request& request, const ServerReply& failure) const
+{
+    return !isScatter(request) && (request.route->repeatable || !promisesNotRun(failure.status));
+}
+
 // Sets the time at which unanswered parts are hedged. Requests that must run at most once, and those that may end servers, are never
 // hedged.
 void Router::scheduleHedge(Request& request)
@@ -74,7 +82,7 @@
         return;
     }
     if (!coversEnough(request, request.done + openParts)) {
-        if (request.failure && !isScatter(request))
+        if (request.failure && mayPassOn(request, *request.failure))
             answerReply(key, request, std::move(*request.failure));
         else
             refuse(key, RefusalReason::AttemptsFailed);
@@ -240,6 +248,8 @@
     refusal.notRun = verdictOf(request) == Verdict::NotRun;
     const std::vector<AttemptId> live = liveAttempts(request);
     refusal.unanswered = static_cast<std::size_t>(std::count_if(live.begin(), live.end(), [this](AttemptId id) { return m_attempts.at(id).connection.has_value(); }));
+    if (request.failure && !isScatter(request) && !mayPassOn(request, *request.failure))
+        refusal.withheldStatus = request.failure->status;
     if (reason == RefusalReason::ServerLimit)
         recordHeldBack(request);
     if (refusal.notRun && reason != RefusalReason::RequestBlocked)
@@ -249,6 +259,8 @@
     giveBackQuota(request);
     ++m_counters.refused[static_cast<std::size_t>(reason)];
     std::vector<EventField> fields { { "request", request.id }, { "fingerprint", request.fingerprint.text() }, { "route", request.route->name }, { "version", fmt::to_string(request.table->document().version) }, { "reason", std::string { nameOf(kRefusalReasonNames, reason) } }, { "not_run", refusal.notRun ? "true" : "false" }, { "parts", fmt::to_string(request.done) }, { "failed", fmt::to_string(request.failed) }, { "limited", fmt::to_string(request.limited) }, { "open", describeLiveAttempts(request) }, { "repeatable", request.route->repeatable ? "true" : "false" }, { "attempt_limit", fmt::to_string(request.route->maximumAttempts) }, { "repeats", fmt::to_string(request.additionalAttempts) }, { "elapsed_us", fmt::to_string((m_now - request.arrivedAt).count()) } };
+    if (refusal.withheldStatus)
+        fields.push_back({ "withheld_status", fmt::to_string(*refusal.withheldStatus) });
     if (isStopping())
         fields.push_back({ "ends_in_us", fmt::to_string((m_endsAt - m_now).count()) });
     appendControlState(fields);
