Repeat an order after 421 only if the server states that it did not run

cause: 421 was taken for "not run" by its status, whoever had sent it. Lost by it: after an exchange of addresses, an order that meets a server which leaves the header out ends with 502, once for each address and instance, since the server is retired as before. change: a 421 without the header is a kind of its own, possibly_wrong_instance. The server is retired, the order may have run. Requests that may run again are repeated as before, and the attempt does not count against their maximum; a refusal no longer says that they have not run. tests: route_document_test asked that 421 alone is a wrong instance; it now asks for both kinds.

--- a/routing/messages.h
+++ b/routing/messages.h
@@ -43,17 +43,20 @@
     Failure,
     // The server states that it did not run the request.
     NotExecuted,
-    // Another incarnation answers at the address; the request did not run.
+    // Another incarnation answers at the address; it states that it did not run the request.
     WrongInstance,
+    // The status of a wrong instance without that statement. The request may have run.
+    PossiblyWrongInstance,
     // Complete, but for another request, unsigned or encoded.
     Unusable,
 };
 
-inline constexpr std::array<EnumName<ReplyKind>, 5> kReplyKindNames { {
+inline constexpr std::array<EnumName<ReplyKind>, 6> kReplyKindNames { {
     { ReplyKind::Success, "success" },
     { ReplyKind::Failure, "failure" },
     { ReplyKind::NotExecuted, "not_executed" },
     { ReplyKind::WrongInstance, "wrong_instance" },
+    { ReplyKind::PossiblyWrongInstance, "possibly_wrong_instance" },
     { ReplyKind::Unusable, "unusable" },
 } };
 
--- a/routing/reply_classification.cpp
+++ b/routing/reply_classification.cpp
@@ -12,7 +12,7 @@
     if (header.requestId && *header.requestId != requestId)
         return ReplyKind::Unusable;
     if (header.status == kStatusMisdirectedRequest)
-        return ReplyKind::WrongInstance;
+        return header.notExecuted ? ReplyKind::WrongInstance : ReplyKind::PossiblyWrongInstance;
     if (header.notExecuted)
         return ReplyKind::NotExecuted;
     const bool success = header.status >= 200 && header.status < 300;
--- a/routing/router_attempts.cpp
+++ b/routing/router_attempts.cpp
@@ -213,7 +213,8 @@
         updateRest(server, event.reply.rest);
     if (isOfServer && event.reply.coldRemaining.count() > 0)
         recordColdTime(server, event.reply.coldRemaining);
-    if (kind == ReplyKind::WrongInstance && !server.isRetired) {
+    const bool isWrongInstance = kind == ReplyKind::WrongInstance || kind == ReplyKind::PossiblyWrongInstance;
+    if (isWrongInstance && !server.isRetired) {
         server.retire(m_now);
         log(events::kServerReplaced, { { "server", server.record.instance }, { "address", server.record.address } });
         failWaiting(server);
@@ -251,6 +252,9 @@
     const bool notRun = kind == ReplyKind::NotExecuted || kind == ReplyKind::WrongInstance;
     if (kind == ReplyKind::Failure)
         request.failure = event.reply;
+    // Most likely another instance has answered. Where a repetition does no harm, the attempt does not count.
+    if (kind == ReplyKind::PossiblyWrongInstance && request.route->repeatable)
+        --part.mayHaveRun;
     const std::string reason = fmt::format("{} (status {})", nameOf(kReplyKindNames, kind), event.reply.status);
     attemptFailed(attempt.request, attempt.part, &server, notRun ? AttemptProgress::RefusedBeforeWork : AttemptProgress::Replied, reason);
 }
--- a/tests/routing/route_document_test.cpp
+++ b/tests/routing/route_document_test.cpp
@@ -91,9 +91,10 @@
     BOOST_TEST((classifyReply(header, "mine") == ReplyKind::Unusable));
     header.notExecuted = true;
     BOOST_TEST((classifyReply(header, "mine") == ReplyKind::NotExecuted));
-    header.notExecuted = false;
     header.status = 421;
     BOOST_TEST((classifyReply(header, "mine") == ReplyKind::WrongInstance));
+    header.notExecuted = false;
+    BOOST_TEST((classifyReply(header, "mine") == ReplyKind::PossiblyWrongInstance));
     header.status = 500;
     header.stamp = "signed";
     BOOST_TEST((classifyReply(header, "mine") == ReplyKind::Failure));
