Refuse a query with a promise only if it has not run

The product's own interface answered a refused query with 503 or 429 by the reason alone. A query of which one part had run, and whose coverage was too low in the end, got 503 with "run": "ran": a proxy or a client that reads the status repeats it.

Found by reading; not seen in a run of the daemons. change: refusalResponse() answers 502 instead of a status that promises, unless the verdict is not_run. The operators' interfaces (control_api, document_api) also say 503 for an unknown outcome; their calls carry versions and change ids, so that sending them again does no harm.

--- a/main/query_json.cpp
+++ b/main/query_json.cpp
@@ -1,5 +1,6 @@
 #include "main/query_json.h"
 
+#include "core/not_run_status.h"
 #include "transport/backend_protocol.h"
 
 #include <boost/json.hpp>
@@ -78,6 +79,46 @@
         return { { "fraction", coverage.fraction }, { "covered", std::move(covered) }, { "lacking", std::move(missing) } };
     }
 
+    unsigned statusOf(query::RefusalReason reason)
+    {
+        switch (reason) {
+        case query::RefusalReason::UnknownClass:
+            return 404;
+        case query::RefusalReason::WrongOwner:
+            return 403;
+        case query::RefusalReason::MissingRequestId:
+        // Callers do not repeat a request after this status.
+        case query::RefusalReason::QueryBlocked:
+            return 400;
+        case query::RefusalReason::RequestIdExpired:
+        case query::RefusalReason::DuplicateRequest:
+            return 409;
+        case query::RefusalReason::Overloaded:
+            return 429;
+        case query::RefusalReason::DeadlinePast:
+        case query::RefusalReason::DeadlineReached:
+            return 504;
+        case query::RefusalReason::ServerFailed:
+            return 502;
+        case query::RefusalReason::NotReady:
+        case query::RefusalReason::Draining:
+        case query::RefusalReason::ClaimUnavailable:
+        case query::RefusalReason::NoServers:
+        case query::RefusalReason::CoverageTooLow:
+        case query::RefusalReason::AwaitingTrial:
+            break;
+        }
+        return 503;
+    }
+
+    // A status that promises that the query has not run is used only if that is certain.
+    unsigned statusOf(const query::SendRefusal& refusal)
+    {
+        const unsigned status = statusOf(refusal.reason);
+        const bool mayHaveRun = refusal.verdict != Verdict::NotRun;
+        return mayHaveRun && promisesNotRun(status) ? 502 : status;
+    }
+
 } // namespace
 
 std::variant<query::QueryArrived, QueryError> readQuery(const std::string& body)
@@ -118,45 +159,13 @@
     return text;
 }
 
-unsigned statusOf(query::RefusalReason reason)
-{
-    switch (reason) {
-    case query::RefusalReason::UnknownClass:
-        return 404;
-    case query::RefusalReason::WrongOwner:
-        return 403;
-    case query::RefusalReason::MissingRequestId:
-    // Callers do not repeat a request after this status.
-    case query::RefusalReason::QueryBlocked:
-        return 400;
-    case query::RefusalReason::RequestIdExpired:
-    case query::RefusalReason::DuplicateRequest:
-        return 409;
-    case query::RefusalReason::Overloaded:
-        return 429;
-    case query::RefusalReason::DeadlinePast:
-    case query::RefusalReason::DeadlineReached:
-        return 504;
-    case query::RefusalReason::ServerFailed:
-        return 502;
-    case query::RefusalReason::NotReady:
-    case query::RefusalReason::Draining:
-    case query::RefusalReason::ClaimUnavailable:
-    case query::RefusalReason::NoServers:
-    case query::RefusalReason::CoverageTooLow:
-    case query::RefusalReason::AwaitingTrial:
-        break;
-    }
-    return 503;
-}
-
 transport::HttpResponse refusalResponse(const query::SendRefusal& refusal)
 {
     json::object object { { "error", nameOf(query::kRefusalReasonNames, refusal.reason) }, { "run", nameOf(kVerdictNames, refusal.verdict) }, { "message", refusal.message } };
     if (refusal.coverage)
         object["coverage"] = coverageJson(*refusal.coverage);
     transport::HttpResponse response;
-    response.status = statusOf(refusal.reason);
+    response.status = statusOf(refusal);
     response.body = json::serialize(object);
     response.fields.emplace_back("X-Run", nameOf(kVerdictNames, refusal.verdict));
     if (refusal.retryAfter)
--- a/main/query_json.h
+++ b/main/query_json.h
@@ -26,6 +26,4 @@
 // Returns the response to a refused query, with its HTTP status.
 transport::HttpResponse refusalResponse(const query::SendRefusal& refusal);
 
-unsigned statusOf(query::RefusalReason reason);
-
 } // namespace curranttrail
