Let soak servers answer with statuses of their own after they have run

Servers of the soak now answer up to 20 in 100 requests with 408, 421, 429 or 503 after running them, without the header that says "not run", and each of the four counts as a promise to the caller of a booking.

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -150,6 +150,8 @@
         behaviour.rejectedPercent = static_cast<unsigned>((random() % 3) * 15);
         behaviour.wrongRequestIdPercent = static_cast<unsigned>((random() % 3) * 10);
         behaviour.abortedPercent = static_cast<unsigned>((random() % 2) * 5);
+        // Draws no number, so that the earlier seeds keep their faults.
+        behaviour.ownStatusPercent = static_cast<unsigned>(behaviour.serviceTime.count() % 3 * 10);
         behaviour.leaving = random() % 6 == 0;
         const std::size_t server = random() % m_servers.size();
         m_servers.set(server, behaviour);
--- a/tests/soak/soak_harness.cpp
+++ b/tests/soak/soak_harness.cpp
@@ -1,5 +1,6 @@
 #include "tests/soak/soak_harness.h"
 
+#include "core/not_run_status.h"
 #include "tests/stand_ins/free_ports.h"
 #include "tests/stand_ins/raw_client.h"
 
@@ -197,7 +198,7 @@
                 checkMerged(response, id);
             else if (bodyOf(response) != StampedServers::recordsOf("orders", id))
                 addViolation(id + ": the body differs from that of the server");
-        } else if (status == "503" && isBooking) {
+        } else if (isBooking && !status.empty() && promisesNotRun(static_cast<unsigned>(std::stoul(status)))) {
             const std::lock_guard lock(m_mutex);
             m_refusedAsNotRun.push_back(id);
         }
--- a/tests/stand_ins/stamped_servers.cpp
+++ b/tests/stand_ins/stamped_servers.cpp
@@ -1,5 +1,6 @@
 #include "tests/stand_ins/stamped_servers.h"
 
+#include "core/not_run_status.h"
 #include "platform/http_names.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -173,8 +174,9 @@
     if (turn < behaviour.rejectedPercent + behaviour.abortedPercent)
         return;
     const bool hasWrongRequestId = turn < behaviour.rejectedPercent + behaviour.abortedPercent + behaviour.wrongRequestIdPercent;
+    const unsigned faults = behaviour.rejectedPercent + behaviour.abortedPercent + behaviour.wrongRequestIdPercent;
     RawReply reply;
-    reply.status = 200;
+    reply.status = turn >= faults && turn < faults + behaviour.ownStatusPercent ? kNotRunStatuses[turn % kNotRunStatuses.size()] : 200;
     reply.fields = { { std::string { platform::kRequestIdField }, hasWrongRequestId ? "another" : id },
         { std::string { platform::kServerStampField }, fmt::format("{}|{}|{}", server.collection, server.instance(), id) } };
     if (behaviour.saysLeaving)
--- a/tests/stand_ins/stamped_servers.h
+++ b/tests/stand_ins/stamped_servers.h
@@ -23,6 +23,8 @@
     unsigned rejectedPercent = 0;
     unsigned abortedPercent = 0;
     unsigned wrongRequestIdPercent = 0;
+    // Requests in a hundred that run and are answered with one of the statuses that promise otherwise.
+    unsigned ownStatusPercent = 0;
     bool leaving = false;
     // Replies state that the server leaves, though the list names it as good.
     bool saysLeaving = false;
