Let the disk say that a replica takes part in the first start

cause: the right to vote in the first election was a setting of the process. That election needs all votes, and a replica under repair votes only with the option; its second start had lost it. change: the repair id that a replica writes at its first start bears a mark. Whoever has the mark on its disk may found the group. A repair after a lost disk has none. No format and no message changes. weighed: a majority of marked replicas instead of all voters, so that one may stay away: with the option left set, two lost disks would found an empty group beside the third (BootstrapNeedsEveryVoter).

--- a/control/control_election.cpp
+++ b/control/control_election.cpp
@@ -71,7 +71,7 @@
         return;
     reportMissingLeader();
     m_leader.reset();
-    if (mayLead() && !m_storageFailed && (m_repairId == 0 || m_options.bootstrap))
+    if (mayLead() && !m_storageFailed && (m_repairId == 0 || mayFoundGroup()))
         startElection(true);
     else
         restartElectionTimer();
@@ -153,6 +153,7 @@
                        { "learners", fmt::format("{}", fmt::join(members().learners, ",")) },
                        { "voted_for", m_votedFor.value_or("") },
                        { "repairing", m_repairId == 0 ? "false" : "true" },
+                       { "may_found_group", m_repairId != 0 && mayFoundGroup() ? "true" : "false" },
                        { "storage_failed", m_storageFailed ? "true" : "false" },
                        { "answers", fmt::format("{}", fmt::join(answers, ",")) },
                        { "under_repair", fmt::format("{}", fmt::join(votersUnderRepair(m_log.currentMembers()), ",")) },
@@ -203,7 +204,7 @@
 
 bool ControlReducer::canGrantVote(const InstanceName& from, const VoteRequest& request) const
 {
-    if (m_storageFailed || isVoteBlockedByLease(request) || (m_repairId != 0 && !m_options.bootstrap))
+    if (m_storageFailed || isVoteBlockedByLease(request) || (m_repairId != 0 && !mayFoundGroup()))
         return false;
     if (std::pair(request.lastTerm, request.lastIndex) < std::pair(m_log.lastTerm(), m_log.lastIndex()))
         return false;
@@ -357,13 +358,20 @@
     restartElectionTimer();
 }
 
-void ControlReducer::startRepair(std::string_view reason)
+bool ControlReducer::mayFoundGroup() const
+{
+    return m_options.bootstrap || isFoundingRepair(m_repairId);
+}
+
+void ControlReducer::startRepair(std::string_view reason, bool isFirstStart)
 {
     do {
         m_repairId = m_random();
-    } while (m_repairId == 0);
+    } while (m_repairId == 0 || isFoundingRepair(m_repairId));
+    if (isFirstStart)
+        m_repairId = (m_repairId & ~kFoundingMarkMask) | kFoundingMark;
     writeHardState();
-    log(kRepairStarted, { { "reason", std::string { reason } } });
+    log(kRepairStarted, { { "reason", std::string { reason } }, { "may_found_group", mayFoundGroup() ? "true" : "false" } });
 }
 
 // Records a vote for the leader, so that this replica, which may have voted in this term before it lost its disk, does not vote
--- a/control/control_reducer.cpp
+++ b/control/control_reducer.cpp
@@ -55,7 +55,7 @@
     restartElectionTimer();
     log(kReplicaStarted, { { "term", fmt::to_string(m_term) }, { "last_index", fmt::to_string(m_log.lastIndex()) }, { "empty", recovered.empty ? "true" : "false" } });
     if (recovered.empty)
-        startRepair("the data folder was empty at start");
+        startRepair("the data folder was empty at start", m_options.bootstrap);
 }
 
 void ControlReducer::on(const PeerMessageReceived& event)
--- a/control/control_reducer.h
+++ b/control/control_reducer.h
@@ -42,7 +42,8 @@
     // Must be random at each start of the process, since it identifies the start and generates the ids of repairs.
     std::uint64_t seed = 0;
     // Allows a replica with an empty disk to vote in the first election of the group. Such an election succeeds only if all
-    // voters grant their votes. Without this option a replica with an empty disk waits until a leader repairs it.
+    // voters grant their votes. Without this option a replica with an empty disk waits until a leader repairs it. A replica that is
+    // started again before that election is marked on its disk and needs the option no more.
     bool bootstrap = false;
 
     Micros heartbeat { 50'000 };
@@ -201,7 +202,8 @@
     // Time since the last contact with a leader, or since the start if there was none. Zero at a leader.
     Micros timeWithoutLeader(TimePoint now) const;
     void reportMissingLeader();
-    void startRepair(std::string_view reason);
+    bool mayFoundGroup() const;
+    void startRepair(std::string_view reason, bool isFirstStart = false);
     void completeRepair(const InstanceName& leader);
 
     // Replication by the leader, in control_leader.cpp.
--- a/control/messages.h
+++ b/control/messages.h
@@ -175,6 +175,16 @@
     MachineState state;
 };
 
+// Repair ids of replicas that took part in the first start of the group and have never been repaired bear this mark, so that the disk
+// tells them from replicas that have lost theirs.
+inline constexpr std::uint64_t kFoundingMark = 0x666f'756e'0000'0000;
+inline constexpr std::uint64_t kFoundingMarkMask = 0xffff'ffff'0000'0000;
+
+constexpr bool isFoundingRepair(std::uint64_t repairId)
+{
+    return (repairId & kFoundingMarkMask) == kFoundingMark;
+}
+
 // Raft's persistent state besides the log. Must be synced before a message that depends on it is sent.
 struct HardState {
     Term term = 0;
--- a/tests/control/model_check_test.cpp
+++ b/tests/control/model_check_test.cpp
@@ -50,6 +50,8 @@
     bool hasGrown = false;
     // Instead of all paths, this number of random ones is followed.
     int paths = 0;
+    // The group starts for the first time, with empty disks and the option that marks it.
+    bool isFirstStart = false;
 };
 
 struct Disk {
@@ -102,8 +104,8 @@
             modelState.commitTerms.push_back(1);
         }
         for (std::size_t n = 0; n < limits.replicas; ++n) {
-            modelState.replicas[n].disk = std::make_shared<Disk>(Disk { { 1, "r0", 0 }, entries });
-            start(modelState, n);
+            modelState.replicas[n].disk = std::make_shared<Disk>(limits.isFirstStart ? Disk {} : Disk { { 1, "r0", 0 }, entries });
+            start(modelState, n, limits.isFirstStart);
         }
         if (limits.startsWithLeader)
             electFirstReplica(modelState);
@@ -126,6 +128,8 @@
 private:
     std::vector<LogEntry> firstEntries() const
     {
+        if (m_limits.isFirstStart)
+            return {};
         std::vector<LogEntry> entries { { 1, 1, NoOperation {} } };
         if (!m_limits.hasGrown)
             return entries;
@@ -200,18 +204,19 @@
         return replica.reducer->status(replica.clock).role != Role::Leader && replica.reducer->nextWakeup() - replica.clock <= Micros { 100'000 };
     }
 
-    void start(ModelState& modelState, std::size_t replica)
+    void start(ModelState& modelState, std::size_t replica, bool isFirstStart = false)
     {
         ControlOptions options;
         options.name = nameOf(replica);
         options.owner = "nile";
         for (std::size_t n = 0; n < m_limits.replicas - (m_limits.hasGrown ? 1 : 0); ++n)
             options.initialVoters.insert(nameOf(n));
+        options.bootstrap = isFirstStart;
         options.seed = replica + 10 * static_cast<std::uint64_t>(modelState.budget.diskLosses + 1);
         Replica& target = modelState.replicas[replica];
         target.reducer = std::make_shared<ControlReducer>(options);
         const std::shared_ptr<const Disk> disk = target.disk;
-        const bool empty = disk->entries.empty() && disk->hardState.term == 0;
+        const bool empty = disk->entries.empty() && disk->hardState.term == 0 && disk->hardState.repairId == 0;
         handle(modelState, replica, Recovered { { disk->hardState, std::nullopt, disk->entries, empty } }, false);
     }
 
@@ -514,4 +519,8 @@
 BOOST_AUTO_TEST_CASE(HalfOfFourElectsOnLongPaths) { explore({ 4, 24, { 4, 0, 0, 1, 1, 0, 1 }, 4, true, false, true, 4'000 }); }
 BOOST_AUTO_TEST_CASE(HalfOfFourElectsOnLongPathsWithAllFaults) { explore({ 4, 40, { 4, 2, 1, 1, 1, 2, 2 }, 4, true, false, true, 1'000 }); }
 
+// Guards against two groups, or an entry that is lost, when replicas end or lose their disks during the first start of a group.
+BOOST_AUTO_TEST_CASE(FirstStartOfThreeReplicas) { explore({ 3, 6, { 3, 1, 2, 1, 0 }, 3, false, false, false, 0, true }); }
+BOOST_AUTO_TEST_CASE(FirstStartOnLongPaths) { explore({ 3, 30, { 5, 2, 3, 1, 0, 2, 2 }, 3, false, false, false, 4'000, true }); }
+
 BOOST_AUTO_TEST_SUITE_END()
