Reach new members however many an instance has met before

A coordinator that had met 64 members in its life sent nothing to further ones, without a line in its log.

cause: clients were kept for all addresses ever met, and the bound of 64 refused new ones instead of closing old ones. change: members and seeds keep their clients; others are closed after 10 s without use, or at the bound, the least recently used first (1108). GroupLinkClients/AMemberIsReachedHoweverManyWere MetBefore with the code of: not reached within 10 s; now reached, with at most 64 clients on the way. conclusion: kept.

--- a/main/control_events.h
+++ b/main/control_events.h
@@ -17,6 +17,8 @@
     inline constexpr EventDescription kFolderDamaged { 1105, "folder_damaged", Severity::Error, "The data folder is damaged; it was moved aside and this replica starts empty, to be repaired by its group." };
     inline constexpr EventDescription kMessageRefused { 1106, "message_refused", Severity::Warning, "A message from another process was malformed or not allowed for its sender." };
     inline constexpr EventDescription kUsageStalled { 1107, "usage_stalled", Severity::Error, "The usage journal cannot be written; records are not acknowledged in the meantime." };
+    inline constexpr EventDescription kPeerClientClosed { 1108, "peer_client_closed", Severity::Information, "The connection to an instance that is no member of the group was closed to make room for another one." };
+    inline constexpr EventDescription kPeerClientRefused { 1109, "peer_client_refused", Severity::Error, "All connections to other instances are to members of the group; messages to this one are dropped." };
 
 } // namespace events
 
@@ -29,6 +31,8 @@
     &events::kFolderDamaged,
     &events::kMessageRefused,
     &events::kUsageStalled,
+    &events::kPeerClientClosed,
+    &events::kPeerClientRefused,
 };
 
 } // namespace curranttrail
--- a/main/coordinator_daemon.cpp
+++ b/main/coordinator_daemon.cpp
@@ -28,6 +28,7 @@
 #include <functional>
 #include <future>
 #include <map>
+#include <set>
 
 namespace curranttrail {
 
@@ -167,6 +168,10 @@
     void manageGroup(const control::ReplicaStatus& status, const control::GroupStatus& groupStatus)
     {
         const TimePoint now = transport::monotonicNow();
+        std::set<InstanceName> members = search.seedNames();
+        members.insert(status.voters.begin(), status.voters.end());
+        members.insert(status.learners.begin(), status.learners.end());
+        links.setMembers(std::move(members));
         fetchServers(status, now);
         if (isLeaving())
             continueLeaving(status, now);
--- a/main/group_links.cpp
+++ b/main/group_links.cpp
@@ -25,8 +25,10 @@
     constexpr std::chrono::milliseconds kConnectTimeout { 200 };
     constexpr std::chrono::milliseconds kHandshakeTimeout { 600 };
     constexpr std::chrono::milliseconds kMaximumBackoff { 100 };
-    // The clients of all members that were ever seen are kept, up to this number.
+    // Twice as many as a group has members.
     constexpr std::size_t kMaximumClients = 64;
+    // A client that is neither used for this time nor of a member is closed.
+    constexpr std::chrono::seconds kUnusedClientTimeout { 10 };
     // An instance of an earlier build does not reply, and reads no further once a connection has many requests without a reply. It is then
     // asked for a reply only now and then.
     constexpr unsigned kMaximumUnansweredJoins = 8;
@@ -78,24 +80,87 @@
 
 void GroupLinks::stop()
 {
-    std::map<InstanceName, std::unique_ptr<transport::FrameClient>> clients;
+    std::map<InstanceName, Peer> peers;
     {
         const std::lock_guard lock(m_mutex);
         m_stopped = true;
-        clients.swap(m_clients);
+        peers.swap(m_peers);
     }
+    // Runs after all closings that are scheduled.
+    m_loop.runAndWait([this] { closeRetired(); });
+    peers.clear();
     m_server.reset();
 }
 
+void GroupLinks::setMembers(std::set<InstanceName> members)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_members = std::move(members);
+        const std::chrono::steady_clock::time_point oldest = std::chrono::steady_clock::now() - kUnusedClientTimeout;
+        for (auto it = m_peers.begin(); it != m_peers.end();) {
+            const auto current = it++;
+            if (!m_members.contains(current->first) && current->second.usedAt < oldest)
+                retire(current);
+        }
+    }
+    closeRetired();
+}
+
+std::size_t GroupLinks::clients() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_peers.size();
+}
+
+// Retires the client that has been unused for the longest time and is not of a member. Returns false if there is none.
+bool GroupLinks::makeRoom()
+{
+    auto oldest = m_peers.end();
+    for (auto it = m_peers.begin(); it != m_peers.end(); ++it) {
+        if (!m_members.contains(it->first) && (oldest == m_peers.end() || it->second.usedAt < oldest->second.usedAt))
+            oldest = it;
+    }
+    if (oldest == m_peers.end())
+        return false;
+    m_sink.log(events::kPeerClientClosed, { { "peer", oldest->first }, { "clients", std::to_string(m_peers.size()) } });
+    retire(oldest);
+    // Closing a client completes its requests, whose callbacks use this object.
+    m_loop.post([this] { closeRetired(); });
+    return true;
+}
+
+void GroupLinks::retire(std::map<InstanceName, Peer>::iterator peer)
+{
+    m_unansweredJoins.erase(peer->first);
+    m_retired.push_back(std::move(peer->second.client));
+    m_peers.erase(peer);
+}
+
+void GroupLinks::closeRetired()
+{
+    std::vector<std::unique_ptr<transport::FrameClient>> retired;
+    const std::lock_guard lock(m_mutex);
+    retired.swap(m_retired);
+}
+
 transport::FrameClient* GroupLinks::clientFor(const InstanceName& name)
 {
-    const auto it = m_clients.find(name);
-    if (it != m_clients.end())
-        return it->second.get();
+    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+    const auto it = m_peers.find(name);
+    if (it != m_peers.end()) {
+        it->second.usedAt = now;
+        return it->second.client.get();
+    }
     const std::optional<transport::Endpoint> endpoint = transport::parseEndpoint(name);
-    if (!endpoint || m_stopped || m_clients.size() >= kMaximumClients)
+    if (!endpoint || m_stopped)
+        return nullptr;
+    if (m_peers.size() >= kMaximumClients && !makeRoom()) {
+        m_sink.log(events::kPeerClientRefused, { { "peer", name }, { "clients", std::to_string(m_peers.size()) } });
         return nullptr;
-    return m_clients.emplace(name, std::make_unique<transport::FrameClient>(m_loop, m_options, endpoint->address, endpoint->port)).first->second.get();
+    }
+    Peer peer { std::make_unique<transport::FrameClient>(m_loop, m_options, endpoint->address, endpoint->port), now };
+    return m_peers.emplace(name, std::move(peer)).first->second.client.get();
 }
 
 void GroupLinks::sendToPeer(const InstanceName& to, const control::PeerMessage& message)
--- a/main/group_links.h
+++ b/main/group_links.h
@@ -7,11 +7,14 @@
 #include "transport/event_sink.h"
 #include "transport/frame_link.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace curranttrail {
 
@@ -42,6 +45,11 @@
     void start(Handlers handlers);
     void stop();
 
+    // Sets the instances whose clients are always kept. A client of another one is closed once it has not been used for some seconds, or to
+    // make room for a new one. Called on the loop's thread.
+    void setMembers(std::set<InstanceName> members);
+    // Number of instances that this one is connected to, or tries to connect to.
+    std::size_t clients() const;
     void sendToPeer(const InstanceName& to, const control::PeerMessage& message);
     // Asks an instance to let this one join the group. The callback runs on the loop's thread, only if the instance replies in time.
     void requestJoin(const InstanceName& to, Micros timeout, std::function<void(const control::JoinReply&)> callback);
@@ -50,7 +58,15 @@
     transport::EventLoop& loop() { return m_loop; }
 
 private:
+    struct Peer {
+        std::unique_ptr<transport::FrameClient> client;
+        std::chrono::steady_clock::time_point usedAt;
+    };
+
     transport::FrameClient* clientFor(const InstanceName& name);
+    bool makeRoom();
+    void retire(std::map<InstanceName, Peer>::iterator peer);
+    void closeRetired();
     void receive(const transport::IncomingFrame& frame, const transport::FrameResponder& respond);
     void refuse(const transport::IncomingFrame& frame, std::string_view reason);
 
@@ -58,10 +74,13 @@
     transport::EventSink& m_sink;
     const transport::LinkOptions m_options;
     transport::EventLoop m_loop;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     bool m_stopped = false;
     Handlers m_handlers;
-    std::map<InstanceName, std::unique_ptr<transport::FrameClient>> m_clients;
+    std::set<InstanceName> m_members;
+    std::map<InstanceName, Peer> m_peers;
+    // Clients that are closed on the loop's thread.
+    std::vector<std::unique_ptr<transport::FrameClient>> m_retired;
     // Number of requests to join in a row without a reply.
     std::map<InstanceName, unsigned> m_unansweredJoins;
     std::unique_ptr<transport::FrameServer> m_server;
--- a/main/group_search.h
+++ b/main/group_search.h
@@ -22,6 +22,7 @@
     // Replaces the seeds.
     void setSeeds(std::vector<transport::Endpoint> seeds) { m_groupConnection.seeds = std::move(seeds); }
     std::size_t seedCount() const { return m_groupConnection.seeds.size(); }
+    std::set<InstanceName> seedNames() const;
     // Asks all known instances to let this one join, once a second while it has to.
     void update(const control::ReplicaStatus& status, TimePoint now);
     // Makes this instance known to seeds outside the group, which may know no member. For a leader, once in its term.
@@ -30,7 +31,6 @@
     void takeRequest(const InstanceName& name, std::function<void(const control::JoinReply& reply)> respond);
 
 private:
-    std::set<InstanceName> seedNames() const;
     void requestJoin(const InstanceName& target);
 
     const InstanceName m_self;
