Refuse requests whose transfer codings hide the end of their body

cause: Beast takes a request whose last coding is not chunked for one without a body; neither of our servers looked at the codings. change: framingError(): codings other than a single chunked in HTTP/1.1 get 400 as not run, and the connection is closed. HttpServers/InvalidInput... with one more row: 200 before, 400 now. conclusion: kept.

--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -77,6 +77,7 @@
         { "GET /a HTTP/1.1\r\nContent-Length: many\r\n\r\n", "400", "malformed" },
         { "GET /a HTTP/1.1\r\nbad header\r\n\r\n", "400", "malformed" },
         { "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400", "malformed" },
+        { "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\nGET /b HTTP/1.1\r\n\r\n", "400", "malformed" },
         { "GET /a HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n", "413", "oversized" },
         { httpRequestText("POST", "/a", std::string(5000, 'x')), "413", "oversized" },
         { "POST /a HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", "413", "oversized" },
--- a/transport/http_session.cpp
+++ b/transport/http_session.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_session.h"
 
+#include "transport/raw_http_parser.h"
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -162,7 +164,7 @@
 
     void headerRead(const error_code& ec)
     {
-        if (readFailed(ec))
+        if (readFailed(ec) || readFailed(detail::framingError(m_parser->get())))
             return;
         const std::uint64_t length = m_parser->content_length().value_or(0);
         if (length > m_options.maximumBodyBytes) {
--- a/transport/raw_http_server.cpp
+++ b/transport/raw_http_server.cpp
@@ -248,6 +248,12 @@
             rejectInput(session, http::error::header_limit);
             return;
         }
+        if (session->parser->is_header_done()) {
+            if (const error_code ec = detail::framingError(session->parser->get())) {
+                rejectInput(session, ec);
+                return;
+            }
+        }
         if (session->parser->is_done())
             handle(session);
     }
